Serve one request end to end through separate processes

Change: four modules (core, daemon, cli, bench); the final request state machine; pool scheduler with strict tiers and fair queueing; HTTP callers, targets, platform list, operator port; stand-ins; ./run and ./test. Ruled out: pooled HTTP client connections to targets, because the moment of the first written byte cannot be observed there.

--- /dev/null
+++ b/bench/src/main/kotlin/io/primroseflow/bench/Main.kt
@@ -0,0 +1,59 @@
+package io.primroseflow.bench
+
+import io.primroseflow.bench.standin.EngineProfile
+import io.primroseflow.bench.standin.HostList
+import io.primroseflow.bench.standin.ModelEngine
+import io.primroseflow.bench.standin.PlainService
+import java.util.concurrent.CountDownLatch
+import kotlin.time.Duration.Companion.milliseconds
+import kotlinx.cli.ArgParser
+import kotlinx.cli.ArgType
+import kotlinx.cli.ExperimentalCli
+import kotlinx.cli.Subcommand
+import kotlinx.cli.default
+import kotlinx.coroutines.runBlocking
+
+/** Starts stand-ins in one process and waits for a signal. */
+@OptIn(ExperimentalCli::class)
+private class StandInsCommand :
+    Subcommand("stand-ins", "Run stand-in engines, plain services and the platform's list") {
+    private val engines by option(
+        ArgType.String,
+        description = "Ports of engines that check fencing numbers, separated by commas"
+    ).default("")
+    private val looseEngines by option(
+        ArgType.String,
+        fullName = "loose-engines",
+        description = "Ports of engines that ignore fencing numbers"
+    ).default("")
+    private val services by option(
+        ArgType.String,
+        description = "Ports of plain services, separated by commas"
+    ).default("")
+    private val platform by option(ArgType.Int, description = "Port of the platform's list")
+    private val tokenMillis by option(
+        ArgType.Int,
+        fullName = "token-ms",
+        description = "Milliseconds between two tokens at no load"
+    ).default(20)
+
+    override fun execute() = runBlocking {
+        val profile = EngineProfile(tokenInterval = tokenMillis.milliseconds)
+        ports(engines).forEach { ModelEngine(profile).start(it) }
+        ports(looseEngines).forEach { ModelEngine(profile.copy(checksFencing = false)).start(it) }
+        ports(services).forEach { PlainService().start(it) }
+        platform?.let { HostList().start(it) }
+        println("stand-ins are ready")
+        CountDownLatch(1).await()
+    }
+
+    private fun ports(text: String) = text.split(',').filter { it.isNotBlank() }.map { it.toInt() }
+}
+
+/** Runs a command of the bench. */
+@OptIn(ExperimentalCli::class)
+public fun main(arguments: Array<String>) {
+    val parser = ArgParser("primroseflow-bench")
+    parser.subcommands(StandInsCommand())
+    parser.parse(arguments)
+}
--- /dev/null
+++ b/daemon/src/main/kotlin/io/primroseflow/daemon/caller/CallerServers.kt
@@ -0,0 +1,254 @@
+package io.primroseflow.daemon.caller
+
+import com.github.michaelbull.result.getOrElse
+import io.ktor.http.ContentType
+import io.ktor.http.HttpMethod
+import io.ktor.http.HttpStatusCode
+import io.ktor.server.application.Application
+import io.ktor.server.application.ApplicationCall
+import io.ktor.server.application.ApplicationCallPipeline
+import io.ktor.server.application.call
+import io.ktor.server.application.install
+import io.ktor.server.engine.EmbeddedServer
+import io.ktor.server.engine.connector
+import io.ktor.server.engine.embeddedServer
+import io.ktor.server.http.HttpRequestLifecycle
+import io.ktor.server.netty.Netty
+import io.ktor.server.netty.NettyApplicationEngine
+import io.ktor.server.request.httpMethod
+import io.ktor.server.request.path
+import io.ktor.server.response.header
+import io.ktor.server.response.respondText
+import io.netty.handler.codec.http.HttpServerCodec
+import io.primroseflow.daemon.operator.DaemonMetrics
+import io.primroseflow.daemon.request.Acceptance
+import io.primroseflow.daemon.request.OutcomeRegistry
+import io.primroseflow.daemon.request.RequestDesk
+import io.primroseflow.daemon.request.RequestMessage
+import io.primroseflow.daemon.request.RequestTask
+import io.primroseflow.daemon.request.Work
+import io.primroseflow.model.RequestId
+import io.primroseflow.policy.Policy
+import io.primroseflow.request.Outcome
+import io.primroseflow.request.Refusal
+import io.primroseflow.request.RequestState
+import io.primroseflow.scheduling.Ticket
+import java.io.IOException
+import kotlin.time.Clock
+import kotlin.time.Duration
+import kotlinx.coroutines.CancellationException
+import kotlinx.serialization.json.JsonArray
+import kotlinx.serialization.json.JsonPrimitive
+import kotlinx.serialization.json.buildJsonObject
+import kotlinx.serialization.json.put
+import org.apache.logging.log4j.LogManager
+
+/** Address to listen at; port 0 takes a free port. */
+internal data class ListenAddress(val host: String, val port: Int)
+
+private const val REQUESTS_PATH = "/v1/requests/"
+
+private const val ANSWER_SUFFIX = "/answer"
+
+private const val MODELS_PATH = "/v1/models"
+
+private const val READY_PATH = "/readyz"
+
+private const val MAX_CHUNK_SIZE = 8 * 1024
+
+/** Serves callers over HTTP. */
+internal class CallerServer(
+    private val clock: Clock,
+    private val policy: () -> Policy,
+    private val reader: CallerRequestReader,
+    private val desk: RequestDesk,
+    private val registry: OutcomeRegistry,
+    private val metrics: DaemonMetrics,
+    private val isReady: () -> Boolean
+) {
+    private val log = LogManager.getLogger(CallerServer::class.java)
+
+    /** Open caller connections. */
+    val connections: ConnectionCount = ConnectionCount()
+
+    /** Creates the server for [address]; it is not started yet. */
+    fun create(
+        address: ListenAddress
+    ): EmbeddedServer<NettyApplicationEngine, NettyApplicationEngine.Configuration> =
+        embeddedServer(
+            Netty,
+            configure = {
+                connector {
+                    host = address.host
+                    port = address.port
+                }
+                val headerBytes = policy().limits.headerBytes
+                httpServerCodec = { HttpServerCodec(headerBytes, headerBytes, MAX_CHUNK_SIZE) }
+                channelPipelineConfig = {
+                    val guard = ConnectionGuard(
+                        connections = connections,
+                        limits = { policy().limits },
+                        timeouts = { policy().timeouts }
+                    )
+                    addAfter("codec", "guard", guard)
+                }
+            },
+            module = { serve() }
+        )
+
+    private fun Application.serve() {
+        install(HttpRequestLifecycle) { cancelCallOnClose = true }
+        intercept(ApplicationCallPipeline.Call) {
+            try {
+                handle(call)
+            } catch (e: CancellationException) {
+                throw e
+            } catch (e: IOException) {
+                log.debug("caller connection failed: {}", e.toString())
+                throw e
+            }
+            finish()
+        }
+    }
+
+    private suspend fun handle(call: ApplicationCall) {
+        val path = call.request.path()
+        if (path == READY_PATH) {
+            answerReadiness(call)
+            return
+        }
+        val caller = reader.authenticate(call).getOrElse { return refuse(call, it) }
+        when {
+            path == MODELS_PATH -> answerModels(call)
+            path.startsWith(REQUESTS_PATH) -> answerLookup(call, caller, path)
+            else -> answerRequest(call, caller)
+        }
+    }
+
+    private suspend fun answerReadiness(call: ApplicationCall) {
+        val ready = isReady()
+        val status = if (ready) HttpStatusCode.OK else HttpStatusCode.ServiceUnavailable
+        call.respondText(if (ready) "ready\n" else "not ready\n", status = status)
+    }
+
+    private suspend fun answerModels(call: ApplicationCall) {
+        val kinds = policy().kinds.values.filter { it.route == null }
+        val models = kinds.map { kind ->
+            buildJsonObject {
+                put("id", kind.id.value)
+                put("object", "model")
+            }
+        }
+        val answer = buildJsonObject {
+            put("object", "list")
+            put("data", JsonArray(models))
+        }
+        call.respondText(answer.toString(), ContentType.Application.Json)
+    }
+
+    private suspend fun answerRequest(call: ApplicationCall, caller: KnownCaller) {
+        val request = reader.read(call, caller).getOrElse { return refuse(call, it) }
+        val id = request.accepted.id
+        call.response.header(CallerHeaders.REQUEST_ID, id.value)
+        when (val acceptance = desk.accept(request.accepted)) {
+            is Acceptance.Refused -> {
+                metrics.countRefusedCall(acceptance.refusal.code)
+                call.respondRefusal(refusalBody(acceptance.refusal, id), acceptance.refusal.status)
+            }
+
+            is Acceptance.Accepted ->
+                follow(call, acceptance.task, request.form, request.accepted.isCancellable)
+        }
+    }
+
+    /** Writes the answer of [task] and lets the task know when its last reader has left. */
+    private suspend fun follow(
+        call: ApplicationCall,
+        task: RequestTask,
+        form: AnswerForm,
+        isCancellable: Boolean
+    ) {
+        val deadline = task.request.deadline
+        val timeLeft = {
+            if (isCancellable) Duration.INFINITE else (deadline - clock.now())
+        }
+        val timeout = policy().timeouts.callerRead
+        val answer = task.answer.reader()
+        try {
+            AnswerWriter(call, task, answer, timeLeft, timeout).write(form)
+        } finally {
+            answer.close()
+            if (task.answer.readerCount == 0) task.send(RequestMessage.ReadersLeft)
+        }
+    }
+
+    private suspend fun answerLookup(call: ApplicationCall, caller: KnownCaller, path: String) {
+        if (call.request.httpMethod != HttpMethod.Get) {
+            return refuse(call, CallError(Refusal.MethodNotAllowed))
+        }
+        val name = path.removePrefix(REQUESTS_PATH).removeSuffix(ANSWER_SUFFIX)
+        val task = RequestId.parseOrNull(name)
+            ?.let { registry.findOrNull(Ticket(caller.team, it)) }
+            ?.takeIf { it.request.caller == caller.caller }
+        when {
+            task == null -> refuse(call, CallError(Refusal.NotFound))
+            path.endsWith(ANSWER_SUFFIX) -> answerRecorded(call, task)
+            else -> call.respondText(describe(task), ContentType.Application.Json)
+        }
+    }
+
+    private suspend fun answerRecorded(call: ApplicationCall, task: RequestTask) {
+        val form = when (val work = task.request.work) {
+            is Work.Call -> AnswerForm.Service
+
+            is Work.Completion ->
+                if (work.path ==
+                    CompletionForm.Chat.path
+                ) {
+                    AnswerForm.WholeChat
+                } else {
+                    AnswerForm.WholeText
+                }
+        }
+        val timeout = policy().timeouts.callerRead
+        task.answer.reader().use { answer ->
+            AnswerWriter(call, task, answer, { timeout }, timeout).write(form)
+        }
+    }
+
+    private suspend fun refuse(call: ApplicationCall, error: CallError) {
+        metrics.countRefusedCall(error.refusal.code)
+        val body = refusalBody(error.refusal, error.requestId)
+        error.requestId?.let { call.response.header(CallerHeaders.REQUEST_ID, it.value) }
+        val explained = error.message?.let { body.copy(message = it) } ?: body
+        call.respondRefusal(explained, error.refusal.status)
+    }
+}
+
+private fun describe(task: RequestTask): String {
+    val state = task.state
+    val outcome = (state as? RequestState.Ended)?.outcome
+    return buildJsonObject {
+        put("request_id", task.request.id.value)
+        put("kind", task.request.kind.id.value)
+        put("state", JsonPrimitive(stateName(state)))
+        when (outcome) {
+            is Outcome.Delivered -> put("output_tokens", outcome.outputTokens.count)
+            is Outcome.NotRun -> put("code", outcome.refusal.code)
+            is Outcome.Unknown -> put("code", outcome.cause.code)
+            null -> Unit
+        }
+    }.toString()
+}
+
+private fun stateName(state: RequestState): String = when (state) {
+    RequestState.Received, RequestState.Waiting, is RequestState.Granted -> "waiting"
+
+    is RequestState.Dispatched, is RequestState.Streaming -> "running"
+
+    is RequestState.Ended -> when (state.outcome) {
+        is Outcome.Delivered -> "delivered"
+        is Outcome.NotRun -> "not_run"
+        is Outcome.Unknown -> "unknown"
+    }
+}
--- /dev/null
+++ b/daemon/src/main/kotlin/io/primroseflow/daemon/platform/PlatformWatches.kt
@@ -0,0 +1,81 @@
+package io.primroseflow.daemon.platform
+
+import io.ktor.client.HttpClient
+import io.ktor.client.plugins.timeout
+import io.ktor.client.request.get
+import io.ktor.client.statement.bodyAsText
+import io.ktor.http.HttpStatusCode
+import io.primroseflow.daemon.target.TargetBoard
+import io.primroseflow.daemon.target.TargetConcern
+import io.primroseflow.model.TargetId
+import java.io.IOException
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+import kotlinx.coroutines.delay
+import kotlinx.serialization.SerialName
+import kotlinx.serialization.Serializable
+import kotlinx.serialization.SerializationException
+import kotlinx.serialization.json.Json
+
+/** Time between two polls of the platform's list. */
+private val POLL_INTERVAL: Duration = 500.milliseconds
+
+private val POLL_TIMEOUT: Duration = 2.seconds
+
+/** The state of a host in the platform's list. */
+@Serializable
+internal enum class ListedState {
+    @SerialName("live")
+    Live,
+
+    @SerialName("leaving")
+    Leaving
+}
+
+/** An entry of the platform's list. */
+@Serializable
+internal data class ListedTarget(val name: String, val state: ListedState)
+
+/** The platform's list of hosts, as sent by the platform. */
+@Serializable
+internal data class PlatformList(val hosts: List<ListedTarget> = emptyList())
+
+/**
+ * Polls the platform's lagging list of live and leaving hosts.
+ *
+ * The list only ever takes targets out of service: a target that is missing from the list, or a
+ * list that cannot be had, changes nothing, since the list lags.
+ */
+internal class PlatformWatch(
+    private val client: HttpClient,
+    private val url: String,
+    private val board: TargetBoard
+) {
+    private val json = Json { ignoreUnknownKeys = true }
+
+    /** Runs until cancelled. */
+    suspend fun run() {
+        while (true) {
+            val list = fetchOrNull()
+            list?.hosts?.forEach {
+                val isLeaving = it.state == ListedState.Leaving
+                board.update(TargetId(it.name), TargetConcern.ListedAsLeaving, isLeaving)
+            }
+            delay(POLL_INTERVAL)
+        }
+    }
+
+    private suspend fun fetchOrNull(): PlatformList? = try {
+        val response = client.get("$url/hosts") {
+            timeout { requestTimeoutMillis = POLL_TIMEOUT.inWholeMilliseconds }
+        }
+        if (response.status == HttpStatusCode.OK) decode(response.bodyAsText()) else null
+    } catch (_: IOException) {
+        null
+    } catch (_: SerializationException) {
+        null
+    }
+
+    private fun decode(text: String) = json.decodeFromString(PlatformList.serializer(), text)
+}
