--- /dev/null
+++ b/core/src/test/kotlin/io/primroseflow/consensus/GroupWorkload.kt
@@ -0,0 +1,204 @@
+package io.primroseflow.consensus
+
+import io.primroseflow.control.AttemptId
+import io.primroseflow.control.ClaimHolder
+import io.primroseflow.control.ControlAnswer
+import io.primroseflow.control.ControlCommand
+import io.primroseflow.control.ControlState
+import io.primroseflow.control.OperationId
+import io.primroseflow.control.PolicyRevision
+import io.primroseflow.control.PolicySource
+import io.primroseflow.model.IdempotencyKey
+import io.primroseflow.model.RequestId
+import io.primroseflow.model.TeamId
+import io.primroseflow.model.Tokens
+import io.primroseflow.request.Outcome
+import io.primroseflow.request.Refusal
+import kotlin.time.Duration.Companion.milliseconds
+
+private const val KEYS = 12
+
+private const val MAX_TRIES = 12
+
+private val team = TeamId("team")
+
+/** Callers that book and operators that change the policy, with the checks of their answers. */
+internal class GroupWorkload(private val world: GroupSimulation) {
+    private val random = world.random
+    private val dispatchedBy = HashMap<IdempotencyKey, AttemptId>()
+    private val acceptedBy = HashMap<PolicyRevision, OperationId>()
+    private val answers = HashMap<OperationId, ControlAnswer>()
+    private var highest = PolicyRevision.NONE
+
+    /** Keys that have run. */
+    val dispatchCount: Int get() = dispatchedBy.size
+
+    /** The highest policy revision that an operator was told of. */
+    val highestRevision: PolicyRevision get() = highest
+
+    fun startCaller() {
+        world.schedule(random.nextInt(400).milliseconds) {
+            book()
+            startCaller()
+        }
+    }
+
+    fun startOperator() {
+        world.schedule(random.nextInt(600).milliseconds) {
+            changePolicy()
+            startOperator()
+        }
+    }
+
+    /** Checks that [state], the final one, holds everything that was answered. */
+    fun checkFinal(state: ControlState) {
+        val kept = state.policyHistory.associate { it.revision to it.operation }
+        for ((revision, operation) in acceptedBy) {
+            if (kept[revision] !=
+                operation
+            ) {
+                throw Violation("revision $revision of $operation is lost")
+            }
+        }
+        for ((key, attempt) in dispatchedBy) {
+            val probe = claimOf(key, AttemptId("probe"))
+            val held = ControlState.fromSnapshot(state.toSnapshot()).apply(probe)
+            val holder = (held as? ControlAnswer.ClaimTaken)?.holder?.attempt
+            if (holder != attempt) throw Violation("the claim of $key by $attempt is lost: $held")
+        }
+    }
+
+    private fun book() {
+        val key = IdempotencyKey("key-${random.nextInt(KEYS)}")
+        val attempt = AttemptId("a${world.nextId()}")
+        send(claimOf(key, attempt), tries = 1 + random.nextInt(3)) { answer ->
+            when {
+                answer is ControlAnswer.ClaimHeld && random.nextInt(8) > 0 -> dispatch(key, attempt)
+                answer !is ControlAnswer.ClaimTaken -> release(key, attempt)
+            }
+        }
+    }
+
+    private fun dispatch(key: IdempotencyKey, attempt: AttemptId) {
+        val first = dispatchedBy.putIfAbsent(key, attempt)
+        if (first != null && first != attempt) throw Violation("$key ran for $first and $attempt")
+        if (random.nextInt(4) == 0) return
+        world.schedule(random.nextInt(500).milliseconds) {
+            send(endOf(key, attempt, Outcome.Delivered(Tokens(1))), MAX_TRIES) {}
+        }
+    }
+
+    private fun release(key: IdempotencyKey, attempt: AttemptId) {
+        val end = Outcome.NotRun(Refusal.NoQuorum)
+        send(endOf(key, attempt, end), tries = MAX_TRIES) {}
+    }
+
+    private fun changePolicy() {
+        val floor = highest
+        randomHost().read { revision ->
+            if (revision == null) return@read
+            if (revision < floor) throw Violation("a read returned $revision after $floor")
+            applyPolicy(revision)
+        }
+    }
+
+    private fun applyPolicy(expected: PolicyRevision) {
+        val operation = OperationId("op${world.nextId()}")
+        val command = ControlCommand.ApplyPolicy(
+            atMillis = 0,
+            operation = operation,
+            author = "operator",
+            expected = expected,
+            source = PolicySource("base", "text of $operation")
+        )
+        send(command, MAX_TRIES) { answer ->
+            if (answer != null) checkAnswer(operation, expected, answer)
+            if (answer != null && random.nextInt(3) == 0) resendLater(command)
+        }
+    }
+
+    /** Sends an operation again that was answered, as an operator does who missed the answer. */
+    private fun resendLater(command: ControlCommand.ApplyPolicy) {
+        world.schedule(random.nextInt(4_000).milliseconds) {
+            send(command, tries = 3) { answer ->
+                if (answer != null) checkAnswer(command.operation, command.expected, answer)
+            }
+        }
+    }
+
+    private fun checkAnswer(
+        operation: OperationId,
+        expected: PolicyRevision,
+        answer: ControlAnswer
+    ) {
+        val first = answers.putIfAbsent(operation, answer) ?: answer
+        if (first != answer) throw Violation("$operation was answered $first and $answer")
+        when (answer) {
+            is ControlAnswer.PolicyAccepted -> {
+                if (answer.revision != expected.next()) throw Violation("$operation made $answer")
+                val winner = acceptedBy.putIfAbsent(answer.revision, operation) ?: operation
+                if (winner != operation) throw Violation("$winner and $operation made $answer")
+                highest = maxOf(highest, answer.revision)
+            }
+
+            is ControlAnswer.PolicyConflict -> {
+                val winner = answer.winner?.operation
+                if (winner == operation) throw Violation("$operation lost against itself")
+            }
+
+            else -> throw Violation("$operation was answered $answer")
+        }
+    }
+
+    /** Sends [command], again after lost answers, up to [tries] times. */
+    private fun send(command: ControlCommand, tries: Int, onAnswer: (ControlAnswer?) -> Unit) {
+        var isAnswered = false
+        val host = randomHost()
+        val finish: (ControlAnswer?) -> Unit = finish@{ answer ->
+            if (isAnswered) return@finish
+            isAnswered = true
+            val isLost = answer == null || random.nextDouble() < world.lossRate
+            when {
+                !isLost -> onAnswer(answer)
+                tries <= 1 -> onAnswer(null)
+                else -> world.schedule(100.milliseconds) { send(command, tries - 1, onAnswer) }
+            }
+        }
+        if (host.isFrozen || host.replica == null) {
+            finish(null)
+            return
+        }
+        host.propose(command, finish)
+        world.schedule(800.milliseconds) { finish(null) }
+    }
+
+    private fun randomHost(): SimulatedHost {
+        val leaders = world.hosts.filter { it.replica?.role == ReplicaRole.Leader }
+        val anyHost = world.hosts[random.nextInt(world.hosts.size)]
+        return if (leaders.isEmpty() || random.nextInt(5) == 0) anyHost else leaders.random(random)
+    }
+
+    private fun claimOf(key: IdempotencyKey, attempt: AttemptId) = ControlCommand.Claim(
+        atMillis = 0,
+        team = team,
+        key = key,
+        holder = holderOf(attempt),
+        retentionMillis = 1_000
+    )
+
+    private fun endOf(key: IdempotencyKey, attempt: AttemptId, outcome: Outcome) =
+        ControlCommand.RecordEnd(
+            atMillis = 0,
+            team = team,
+            key = key,
+            holder = holderOf(attempt),
+            outcome = outcome
+        )
+
+    private fun holderOf(attempt: AttemptId) = ClaimHolder(
+        owner = world.hosts.first().id,
+        request = RequestId(attempt.value),
+        attempt = attempt,
+        bodyDigest = ""
+    )
+}
--- /dev/null
+++ b/core/src/test/kotlin/io/primroseflow/consensus/ReplicaTest.kt
@@ -0,0 +1,135 @@
+package io.primroseflow.consensus
+
+import io.kotest.core.spec.style.DescribeSpec
+import io.kotest.matchers.shouldBe
+import io.kotest.matchers.types.shouldBeInstanceOf
+import io.primroseflow.model.HostId
+import kotlin.random.Random
+import kotlin.time.Duration.Companion.seconds
+import kotlin.time.Instant
+
+private val a = HostId("a")
+
+private val b = HostId("b")
+
+private val c = HostId("c")
+
+private val start = Instant.fromEpochSeconds(1_000)
+
+private fun replica(
+    id: HostId = c,
+    restored: RestoredState = RestoredState(),
+    members: Membership = Membership(setOf(a, b, c))
+) = Replica(id, members, restored, ReplicaSettings(), Random(1), start)
+
+private fun voteRequest(term: Long, isTrial: Boolean = false) = ReplicaMessage.VoteRequest(
+    term = Term(term),
+    lastIndex = LogIndex.ZERO,
+    lastTerm = Term.ZERO,
+    isTrial = isTrial
+)
+
+private fun Replica.voteFor(candidate: HostId, term: Long): Boolean {
+    receive(candidate, voteRequest(term), start)
+    val reply = effects().messages.single().message
+    return reply.shouldBeInstanceOf<ReplicaMessage.VoteReply>().isGranted
+}
+
+/** Makes [leader] the leader of term 1 by the vote of b. */
+private fun electedLeader(members: Membership = Membership(setOf(a, b, c))): Replica {
+    val leader = replica(a, members = members)
+    leader.tick(start + 10.seconds)
+    leader.receive(b, ReplicaMessage.VoteReply(Term(1), isGranted = true, isTrial = true), start)
+    leader.receive(b, ReplicaMessage.VoteReply(Term(1), isGranted = true, isTrial = false), start)
+    leader.persisted(leader.effects())
+    return leader
+}
+
+private fun Replica.confirm(from: HostId, index: Long) {
+    val reply = ReplicaMessage.AppendReply(term, isSuccess = true, LogIndex(index), round = 1)
+    receive(from, reply, start + 10.seconds)
+}
+
+class ReplicaTest :
+    DescribeSpec({
+        describe("a vote") {
+            it("is given once in a term") {
+                val voter = replica()
+                voter.voteFor(a, term = 1) shouldBe true
+                voter.voteFor(b, term = 1) shouldBe false
+                voter.voteFor(b, term = 2) shouldBe true
+            }
+
+            it("is remembered over a restart only because it was stored") {
+                val voter = replica()
+                voter.receive(a, voteRequest(term = 1), start)
+                val stored = voter.effects().hardState ?: HardState()
+                replica(restored = RestoredState(stored)).voteFor(b, term = 1) shouldBe false
+                val forgetful = RestoredState(stored.copy(votedFor = null))
+                replica(restored = forgetful).voteFor(b, term = 1) shouldBe true
+            }
+
+            it("is not given to a replica whose log is behind") {
+                val entry = LogEntry(LogIndex(1), Term(1), EntryContent.Empty)
+                val voter =
+                    replica(restored = RestoredState(HardState(Term(1)), null, listOf(entry)))
+                voter.voteFor(a, term = 2) shouldBe false
+            }
+
+            it("changes nothing when it is a trial") {
+                val voter = replica()
+                voter.receive(a, voteRequest(term = 9, isTrial = true), start)
+                voter.effects().hardState shouldBe null
+                voter.term shouldBe Term.ZERO
+            }
+        }
+
+        describe("a leader") {
+            it("commits only what a quorum has stored") {
+                val leader = electedLeader()
+                leader.propose(CommandBytes(byteArrayOf(1)))
+                val effects = leader.effects()
+                leader.commitIndex shouldBe LogIndex.ZERO
+                leader.confirm(b, index = 2)
+                leader.commitIndex shouldBe LogIndex(1)
+                leader.persisted(effects)
+                leader.commitIndex shouldBe LogIndex(2)
+            }
+
+            it("does not count a learner for a quorum") {
+                val leader =
+                    electedLeader(Membership(setOf(a, b, c), learners = setOf(HostId("d"))))
+                leader.confirm(HostId("d"), index = 1)
+                leader.commitIndex shouldBe LogIndex.ZERO
+                leader.confirm(b, index = 1)
+                leader.commitIndex shouldBe LogIndex(1)
+            }
+
+            it("promotes a learner only when it has caught up") {
+                val learner = HostId("d")
+                val leader = electedLeader(Membership(setOf(a, b, c), learners = setOf(learner)))
+                leader.confirm(b, index = 1)
+                val early = leader.change(MemberChange.Promote(learner))
+                early shouldBe Proposal.Rejected(ProposalError.NotCaughtUp)
+                leader.confirm(learner, index = 1)
+                leader.change(MemberChange.Promote(learner)).shouldBeInstanceOf<Proposal.Accepted>()
+            }
+
+            it("takes one change of members at a time") {
+                val leader = electedLeader()
+                leader.confirm(b, index = 1)
+                val first = leader.change(MemberChange.AddLearner(HostId("d")))
+                first.shouldBeInstanceOf<Proposal.Accepted>()
+                val second = leader.change(MemberChange.Remove(c))
+                second shouldBe Proposal.Rejected(ProposalError.ChangePending)
+            }
+
+            it("steps down when it hears of no quorum") {
+                val leader = electedLeader()
+                leader.tick(start + 30.seconds)
+                leader.role shouldBe ReplicaRole.Follower
+                leader.propose(CommandBytes(byteArrayOf(1)))
+                    .shouldBeInstanceOf<Proposal.Rejected>()
+            }
+        }
+    })
