--- a/core/src/main/kotlin/io/primroseflow/request/Outcomes.kt
+++ b/core/src/main/kotlin/io/primroseflow/request/Outcomes.kt
@@ -52,7 +52,8 @@
     DeadlineExpired("deadline_expired", 504, 1.seconds),
     NoTarget("no_target", 503, 2.seconds),
     NoQuorum("no_quorum", 503, 2.seconds),
-    ClaimContended("claim_contended", 503, 1.seconds),
+    KeyExpired("key_expired", 409),
+    LedgerFull("ledger_full", 503, 2.seconds),
     HostStopping("host_stopping", 503, 1.seconds),
     TooManyConnections("too_many_connections", 503, 1.seconds),
     TooManyRequests("too_many_requests", 429, 1.seconds),
@@ -78,5 +79,6 @@
     CancelledForHigherTier("cancelled_for_higher_tier", 503),
     CallerLeft("caller_left_running", 499),
     ClaimantLost("claimant_lost", 409),
+    AnswerNotKept("answer_not_kept", 409),
     HostStopping("host_stopping_running", 503)
 }
--- a/daemon/src/main/kotlin/io/primroseflow/daemon/DaemonSettings.kt
+++ b/daemon/src/main/kotlin/io/primroseflow/daemon/DaemonSettings.kt
@@ -40,6 +40,7 @@
     val peerPort: Int,
     val peers: PersistentList<PeerAddress>,
     val dataFolder: Path?,
+    val replicas: PersistentList<HostId>,
     val policyBase: Path,
     val policyOverlay: Path?,
     val credentials: Path,
@@ -80,6 +81,7 @@
             peerPort = port("peer-port", DEFAULT_PEER_PORT),
             peers = peers(),
             dataFolder = find("data-folder")?.let(Path::of),
+            replicas = replicas(),
             policyBase = Path.of(required("policy-base")),
             policyOverlay = find("policy-overlay")?.let(Path::of),
             credentials = Path.of(required("credentials")),
@@ -98,6 +100,7 @@
         declare("peer-port", "port for other hosts ($DEFAULT_PEER_PORT)")
         declare("peers", "other hosts, as name@data-centre=address:port, separated by commas")
         declare("data-folder", "folder of the durable state, on hosts with a disk")
+        declare("replicas", "names of the hosts that keep the control state, with commas")
         declare("policy-base", "policy file shared by all sites")
         declare("policy-overlay", "policy file of this site")
         declare("credentials", "file with the hashes of the callers' tokens")
@@ -138,6 +141,10 @@
         return items.mapNotNull(::peerOrNull).toPersistentList()
     }
 
+    private fun replicas(): PersistentList<HostId> =
+        find("replicas")?.split(',').orEmpty().map { it.trim() }.filter { it.isNotEmpty() }
+            .map(::HostId).toPersistentList()
+
     private fun peerOrNull(text: String): PeerAddress? {
         val match = peerPattern.matchEntire(text)
         val port = match?.groupValues?.get(4)?.toIntOrNull()?.takeIf { it in 1..MAX_PORT }
--- a/daemon/src/main/kotlin/io/primroseflow/daemon/Main.kt
+++ b/daemon/src/main/kotlin/io/primroseflow/daemon/Main.kt
@@ -2,6 +2,8 @@
 
 import com.github.michaelbull.result.getOrElse
 import io.primroseflow.daemon.caller.Credentials
+import io.primroseflow.daemon.storage.DiskFolder
+import io.primroseflow.daemon.storage.ReplicaStorage
 import io.primroseflow.policy.CheckedPolicy
 import io.primroseflow.policy.PolicyText
 import io.primroseflow.policy.readPolicy
@@ -43,7 +45,8 @@
         settings = settings,
         policy = loadPolicy(settings),
         credentials = loadCredentials(settings.credentials),
-        operatorToken = load(settings.operatorTokenFile) { it.readText().trim() }
+        operatorToken = load(settings.operatorTokenFile) { it.readText().trim() },
+        storage = settings.dataFolder?.let(::openStorage)
     )
 }
 
@@ -58,6 +61,11 @@
     return policy
 }
 
+private fun openStorage(path: Path): ReplicaStorage {
+    val folder = load(path) { DiskFolder(it) }
+    return ReplicaStorage.open(folder).getOrElse { throw BadInput("--data-folder: $it") }
+}
+
 private fun loadText(path: Path) = load(path) { PolicyText(it.name, it.readText()) }
 
 private fun loadCredentials(path: Path): Credentials =
--- a/daemon/src/main/kotlin/io/primroseflow/daemon/caller/CallerAnswers.kt
+++ b/daemon/src/main/kotlin/io/primroseflow/daemon/caller/CallerAnswers.kt
@@ -87,7 +87,8 @@
     Refusal.DeadlineExpired -> "the deadline passed before the request could start"
     Refusal.NoTarget -> "no target of the pool is in reach"
     Refusal.NoQuorum -> "the claim of the idempotency key could not be made durable"
-    Refusal.ClaimContended -> "another request is claiming the same idempotency key"
+    Refusal.KeyExpired -> "the idempotency key is older than the claims that are kept"
+    Refusal.LedgerFull -> "no further idempotency key without a time of its own can be kept"
     Refusal.HostStopping -> "the host is stopping"
     Refusal.TooManyConnections -> "the host has too many connections"
     Refusal.TooManyRequests -> "the host has too many requests in progress"
@@ -106,5 +107,6 @@
     Interruption.CancelledForHigherTier -> "work of a higher tier took the capacity"
     Interruption.CallerLeft -> "the caller left while the request ran"
     Interruption.ClaimantLost -> "the key was claimed by a request whose end is not known"
+    Interruption.AnswerNotKept -> "the request was delivered before and its answer is not kept"
     Interruption.HostStopping -> "the host stopped while the request ran"
 }
--- /dev/null
+++ b/daemon/src/main/kotlin/io/primroseflow/daemon/control/ControlPlane.kt
@@ -0,0 +1,178 @@
+package io.primroseflow.daemon.control
+
+import io.primroseflow.consensus.Membership
+import io.primroseflow.consensus.ReplicaMessage
+import io.primroseflow.control.AcceptedPolicy
+import io.primroseflow.control.PolicyRevision
+import io.primroseflow.daemon.DaemonSettings
+import io.primroseflow.daemon.peer.ControlQuery
+import io.primroseflow.daemon.peer.ControlReply
+import io.primroseflow.daemon.peer.PeerLinks
+import io.primroseflow.daemon.peer.PeerMessage
+import io.primroseflow.daemon.storage.ReplicaStorage
+import io.primroseflow.membership.MemberNews
+import io.primroseflow.model.HostId
+import io.primroseflow.status.ControlReplicaStatus
+import io.primroseflow.status.HostPhase
+import io.primroseflow.status.PeerStatus
+import io.primroseflow.timeline.HybridClock
+import java.util.concurrent.atomic.AtomicBoolean
+import kotlin.random.Random
+import kotlin.time.Clock
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.seconds
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.launch
+
+private val CONFIRM_TIMEOUT: Duration = 3.seconds
+
+/**
+ * What this host has to do with the other hosts: links, control replica, membership and the
+ * spreading of the policy.
+ *
+ * @param storage the storage of the control replica, `null` on hosts without one
+ */
+internal class ControlPlane(
+    private val settings: DaemonSettings,
+    private val scope: CoroutineScope,
+    private val clock: Clock,
+    hybridClock: HybridClock,
+    private val policy: PolicyInForce,
+    private val phase: () -> HostPhase,
+    storage: ReplicaStorage?,
+    random: Random
+) {
+    private val self = settings.host
+    private val peers = settings.peers.associateBy { it.host }
+    private val isConfirming = AtomicBoolean()
+    private val links = PeerLinks(self, scope, clock, hybridClock, ::handle)
+    private val replica: ReplicaTask? = storage?.let {
+        val initial = Membership(settings.replicas.toSet())
+        ReplicaTask(self, initial, it, clock, Listener(), random)
+    }
+    private val gossip = GossipTask(
+        self = firstNews(),
+        peers = { peers.mapValues { it.value.dataCentre } },
+        clock = clock,
+        random = random,
+        policy = policy,
+        phase = phase,
+        send = links::send,
+        confirm = ::confirmPolicy
+    )
+
+    /** Asks the group of control replicas. */
+    val client: ControlClient = ControlClient(clock, links::send, settings.replicas)
+
+    /** What has been exchanged with other hosts. */
+    val traffic get() = links.traffic
+
+    /** The other hosts as this host sees them. */
+    val members: List<PeerStatus> get() = gossip.view
+
+    /** Starts all tasks; returns the port for other hosts. */
+    suspend fun start(): Int {
+        links.updateAddresses(peers.values)
+        val port = links.listen(settings.bind, settings.peerPort)
+        replica?.let { scope.launch { it.run() } }
+        scope.launch { gossip.run() }
+        peers.keys.forEach { links.send(it, PeerMessage.PolicyPull(policy.revision)) }
+        return port
+    }
+
+    /** Spreads a changed policy quickly. */
+    fun onPolicyChanged() = gossip.onPolicyChanged()
+
+    /** Hands over the roles of this host before it stops. */
+    fun handOver() {
+        replica?.handOver()
+    }
+
+    /** Closes all connections. */
+    fun close() = links.close()
+
+    /** Returns the state of the control replica, `null` on hosts without one. */
+    fun replicaStatus(): ControlReplicaStatus? {
+        val task = replica ?: return null
+        val status = task.status
+        return ControlReplicaStatus(
+            role = status.role.name,
+            term = status.term.number,
+            leader = status.leader,
+            commitIndex = status.commitIndex.position,
+            voters = status.membership.voters.toList(),
+            learners = status.membership.learners.toList(),
+            claims = status.claims,
+            isDiskFailing = status.isDiskFailing,
+            isWaitingToJoin = task.isNewborn
+        )
+    }
+
+    private fun firstNews() = MemberNews(
+        host = self,
+        dataCentre = settings.dataCentre,
+        heartbeat = clock.now().toEpochMilliseconds(),
+        phase = phase(),
+        policy = PolicyRevision.NONE
+    )
+
+    private fun handle(from: HostId, message: PeerMessage) {
+        when (message) {
+            is PeerMessage.Replication -> replica?.receive(from, message.message)
+
+            is PeerMessage.ControlCall -> answerCall(from, message)
+
+            is PeerMessage.ControlReturn -> client.complete(message.call, message.reply)
+
+            is PeerMessage.Gossip -> gossip.onNews(from, message.news)
+
+            is PeerMessage.PolicyPull -> gossip.onPull(from, message)
+
+            is PeerMessage.PolicyPush -> policy.offer(message.policy)
+
+            PeerMessage.HistoryQuestion ->
+                links.send(from, PeerMessage.HistoryAnswer(hasHistory()))
+
+            is PeerMessage.HistoryAnswer -> replica?.onHistory(from, message.hasHistory)
+        }
+    }
+
+    private fun answerCall(from: HostId, message: PeerMessage.ControlCall) {
+        val task = replica
+        if (task == null) {
+            links.send(from, PeerMessage.ControlReturn(message.call, ControlReply.NotLeader(null)))
+            return
+        }
+        task.ask(message.query) { links.send(from, PeerMessage.ControlReturn(message.call, it)) }
+    }
+
+    private fun hasHistory(): Boolean {
+        val task = replica ?: return false
+        return !task.isNewborn && task.status.term.number > 0
+    }
+
+    /** Asks the control group whether there is a later policy. */
+    private fun confirmPolicy() {
+        if (settings.replicas.isEmpty() || !isConfirming.compareAndSet(false, true)) return
+        scope.launch {
+            try {
+                val query = ControlQuery.CurrentPolicy(policy.revision)
+                val reply = client.askOrNull(query, CONFIRM_TIMEOUT)
+                val read = reply as? ControlReply.PolicyRead ?: return@launch
+                read.policy?.let(policy::offer)
+                policy.confirm()
+            } finally {
+                isConfirming.set(false)
+            }
+        }
+    }
+
+    private inner class Listener : ReplicaListener {
+        override fun send(to: HostId, message: ReplicaMessage) =
+            links.send(to, PeerMessage.Replication(message))
+
+        override fun askHistory(to: HostId) = links.send(to, PeerMessage.HistoryQuestion)
+
+        override fun onPolicy(policy: AcceptedPolicy) = this@ControlPlane.policy.offer(policy)
+    }
+}
--- /dev/null
+++ b/daemon/src/main/kotlin/io/primroseflow/daemon/control/GossipTask.kt
@@ -0,0 +1,139 @@
+package io.primroseflow.daemon.control
+
+import io.primroseflow.daemon.peer.PeerMessage
+import io.primroseflow.membership.MemberNews
+import io.primroseflow.membership.MemberTable
+import io.primroseflow.model.DataCentreId
+import io.primroseflow.model.HostId
+import io.primroseflow.status.HostPhase
+import io.primroseflow.status.PeerStatus
+import kotlin.random.Random
+import kotlin.time.Clock
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+import kotlinx.coroutines.channels.Channel
+import kotlinx.coroutines.withTimeoutOrNull
+
+private val GOSSIP_INTERVAL: Duration = 1.seconds
+
+/** Time between the rounds that follow a change of the policy. */
+private val EAGER_INTERVAL: Duration = 100.milliseconds
+
+/** Rounds in quick succession after a change of the policy. */
+private const val EAGER_ROUNDS = 3
+
+/** Hosts that hear the news in one round. */
+private const val FANOUT = 2
+
+/** News of other hosts in one message. */
+private const val MAX_NEWS = 24
+
+/** Rounds after which the control group is asked whether the policy is the latest. */
+private const val CONFIRM_EVERY = 10
+
+private sealed interface GossipInput {
+    class News(val from: HostId, val news: List<MemberNews>) : GossipInput
+    class Pull(val from: HostId, val message: PeerMessage.PolicyPull) : GossipInput
+    data object PolicyChanged : GossipInput
+}
+
+/**
+ * The task that spreads heartbeats and policies from host to host.
+ *
+ * @param peers all other hosts with their data centres
+ * @param confirm asks the control group for a later policy
+ */
+internal class GossipTask(
+    self: MemberNews,
+    private val peers: () -> Map<HostId, DataCentreId>,
+    private val clock: Clock,
+    private val random: Random,
+    private val policy: PolicyInForce,
+    private val phase: () -> HostPhase,
+    private val send: (HostId, PeerMessage) -> Unit,
+    private val confirm: () -> Unit
+) {
+    private val table = MemberTable(self, clock.now())
+    private val mailbox = Channel<GossipInput>(Channel.UNLIMITED)
+    private var eagerRounds = 0
+    private var rounds = 0L
+
+    /** The other hosts as this host sees them. */
+    @Volatile
+    var view: List<PeerStatus> = emptyList()
+        private set
+
+    /** Hands in news from [from]. */
+    fun onNews(from: HostId, news: List<MemberNews>) {
+        mailbox.trySend(GossipInput.News(from, news))
+    }
+
+    /** Hands in a request for the policy. */
+    fun onPull(from: HostId, message: PeerMessage.PolicyPull) {
+        mailbox.trySend(GossipInput.Pull(from, message))
+    }
+
+    /** Spreads a changed policy quickly. */
+    fun onPolicyChanged() {
+        mailbox.trySend(GossipInput.PolicyChanged)
+    }
+
+    /** Runs until cancelled. */
+    suspend fun run() {
+        var nextRound = clock.now()
+        while (true) {
+            val wait = (nextRound - clock.now()).coerceAtLeast(Duration.ZERO)
+            val input = withTimeoutOrNull(wait) { mailbox.receive() }
+            input?.let(::handle)
+            if (input is GossipInput.PolicyChanged) nextRound = clock.now()
+            if (clock.now() < nextRound) continue
+            spread()
+            nextRound = clock.now() + if (eagerRounds > 0) EAGER_INTERVAL else GOSSIP_INTERVAL
+            if (eagerRounds > 0) eagerRounds--
+        }
+    }
+
+    private fun handle(input: GossipInput) {
+        when (input) {
+            is GossipInput.News -> {
+                table.merge(input.news, clock.now())
+                if (input.news.any { it.policy > policy.revision }) {
+                    send(input.from, PeerMessage.PolicyPull(policy.revision))
+                }
+            }
+
+            is GossipInput.Pull -> {
+                val accepted = policy.accepted ?: return
+                if (accepted.head.revision <= input.message.known) return
+                send(input.from, PeerMessage.PolicyPush(accepted))
+            }
+
+            GossipInput.PolicyChanged -> eagerRounds = EAGER_ROUNDS
+        }
+    }
+
+    private fun spread() {
+        val now = clock.now()
+        table.beat(phase(), policy.revision, now)
+        val all = peers()
+        val own = table.self.dataCentre
+        val near = all.filterValues { it == own }.keys.toList()
+        val far = all.filterValues { it != own }.keys.toList()
+        val receivers = table.chooseReceivers(near, FANOUT / 2, random) +
+            table.chooseReceivers(far.ifEmpty { near }, FANOUT - FANOUT / 2, random)
+        val news = table.latest(MAX_NEWS)
+        receivers.distinct().forEach { send(it, PeerMessage.Gossip(news)) }
+        if (rounds++ % CONFIRM_EVERY == 0L) confirm()
+        view = table.all().filter { it.news.host != table.self.host }.map { member ->
+            PeerStatus(
+                host = member.news.host,
+                dataCentre = member.news.dataCentre,
+                isAlive = table.isAlive(member, now),
+                silentMillis = (now - member.heardAt).inWholeMilliseconds,
+                policyRevision = member.news.policy.number,
+                phase = member.news.phase
+            )
+        }
+    }
+}
--- /dev/null
+++ b/daemon/src/main/kotlin/io/primroseflow/daemon/control/ReplicaTask.kt
@@ -0,0 +1,413 @@
+package io.primroseflow.daemon.control
+
+import io.primroseflow.consensus.CommandBytes
+import io.primroseflow.consensus.Effects
+import io.primroseflow.consensus.EntryContent
+import io.primroseflow.consensus.HardState
+import io.primroseflow.consensus.LogEntry
+import io.primroseflow.consensus.LogIndex
+import io.primroseflow.consensus.MemberChange
+import io.primroseflow.consensus.Membership
+import io.primroseflow.consensus.Proposal
+import io.primroseflow.consensus.ProposalError
+import io.primroseflow.consensus.ReadGrant
+import io.primroseflow.consensus.ReadId
+import io.primroseflow.consensus.Replica
+import io.primroseflow.consensus.ReplicaMessage
+import io.primroseflow.consensus.ReplicaRole
+import io.primroseflow.consensus.ReplicaSettings
+import io.primroseflow.consensus.Snapshot
+import io.primroseflow.consensus.Term
+import io.primroseflow.control.AcceptedPolicy
+import io.primroseflow.control.ControlState
+import io.primroseflow.control.decodeCommand
+import io.primroseflow.control.encodeCommand
+import io.primroseflow.daemon.peer.ControlQuery
+import io.primroseflow.daemon.peer.ControlReply
+import io.primroseflow.daemon.peer.GroupChange
+import io.primroseflow.daemon.storage.ReplicaStorage
+import io.primroseflow.model.HostId
+import java.io.IOException
+import kotlin.random.Random
+import kotlin.time.Clock
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlinx.coroutines.Dispatchers
+import kotlinx.coroutines.channels.Channel
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.withContext
+import kotlinx.coroutines.withTimeoutOrNull
+import org.apache.logging.log4j.LogManager
+
+private sealed interface ReplicaTaskMessage {
+    class FromPeer(val from: HostId, val message: ReplicaMessage) : ReplicaTaskMessage
+    class Query(val query: ControlQuery, val onReply: (ControlReply) -> Unit) : ReplicaTaskMessage
+    data object HandOver : ReplicaTaskMessage
+    class History(val from: HostId, val hasHistory: Boolean) : ReplicaTaskMessage
+}
+
+/** Time between two ticks of a replica. */
+private val TICK: Duration = 20.milliseconds
+
+/** Time between two tries to write to a disk that failed. */
+private val DISK_RETRY: Duration = 500.milliseconds
+
+/** Time between two questions of a replica with an empty folder. */
+private val BIRTH_INTERVAL: Duration = 200.milliseconds
+
+/** Time between the certainty that nothing was lost and the first part in an election. */
+private val BIRTH_PAUSE: Duration = 600.milliseconds
+
+/** Messages handled before their effects are made durable together. */
+private const val MAX_BATCH = 1_024
+
+/** Bytes of log after which a snapshot is made. */
+private const val SNAPSHOT_AFTER_BYTES = 4L * 1024 * 1024
+
+/** Gauges of a replica. */
+internal data class ReplicaStatus(
+    val role: ReplicaRole,
+    val term: Term,
+    val leader: HostId?,
+    val commitIndex: LogIndex,
+    val membership: Membership,
+    val claims: Int,
+    val isDiskFailing: Boolean
+)
+
+/** Receives what a replica learns. */
+internal interface ReplicaListener {
+    /** Sends [message] to replica [to]. */
+    fun send(to: HostId, message: ReplicaMessage)
+
+    /** Asks the replica of [to] whether it has any history. */
+    fun askHistory(to: HostId)
+
+    /** A later policy is in force. */
+    fun onPolicy(policy: AcceptedPolicy)
+}
+
+/**
+ * The task that owns the control replica of this host, its storage and its state.
+ *
+ * Everything that arrives while a write is under way is handled together after it, so that one
+ * write to the disk serves many commands.
+ */
+internal class ReplicaTask(
+    private val self: HostId,
+    private val initial: Membership,
+    private val storage: ReplicaStorage,
+    private val clock: Clock,
+    private val listener: ReplicaListener,
+    random: Random
+) {
+    private class PendingCommand(val term: Term, val onReply: (ControlReply) -> Unit)
+
+    private class PendingRead(val query: ControlQuery, val onReply: (ControlReply) -> Unit)
+
+    private val log = LogManager.getLogger(ReplicaTask::class.java)
+    private val mailbox = Channel<ReplicaTaskMessage>(Channel.UNLIMITED)
+    private val replica =
+        Replica(self, initial, storage.restored, ReplicaSettings(), random, clock.now())
+    private val commands = HashMap<LogIndex, PendingCommand>()
+    private val reads = HashMap<ReadId, PendingRead>()
+    private val grants = ArrayList<ReadGrant>()
+    private var state = restoredState()
+    private var applied = storage.restored.snapshot?.head?.index ?: LogIndex.ZERO
+    private var lastRead = 0L
+    private var isDiskFailing = false
+    private var isDiskLost = false
+    private var loggedRole = replica.role
+
+    /** Whether the replica does not take part yet, since its folder was empty. */
+    @Volatile
+    var isNewborn: Boolean = storage.isNew
+        private set
+
+    /** The latest gauges. */
+    @Volatile
+    var status: ReplicaStatus = currentStatus()
+        private set
+
+    /** Hands a message of another replica to the task. */
+    fun receive(from: HostId, message: ReplicaMessage) {
+        mailbox.trySend(ReplicaTaskMessage.FromPeer(from, message))
+    }
+
+    /** Hands a query to the task; [onReply] is called once and must not block. */
+    fun ask(query: ControlQuery, onReply: (ControlReply) -> Unit) {
+        mailbox.trySend(ReplicaTaskMessage.Query(query, onReply))
+    }
+
+    /** Hands in whether the replica of [from] has any history. */
+    fun onHistory(from: HostId, hasHistory: Boolean) {
+        mailbox.trySend(ReplicaTaskMessage.History(from, hasHistory))
+    }
+
+    /** Asks the task to hand leadership over, when it leads. */
+    fun handOver() {
+        mailbox.trySend(ReplicaTaskMessage.HandOver)
+    }
+
+    /** Runs until cancelled. */
+    suspend fun run() {
+        if (isNewborn) awaitBirth()
+        state.policy?.let(listener::onPolicy)
+        while (true) {
+            val first = withTimeoutOrNull(TICK) { mailbox.receive() }
+            first?.let(::handle)
+            var count = 1
+            while (count < MAX_BATCH) {
+                handle(mailbox.tryReceive().getOrNull() ?: break)
+                count++
+            }
+            replica.tick(clock.now())
+            carryOut()
+            snapshotIfDue()
+            noteStatus()
+        }
+    }
+
+    /**
+     * Waits until it is certain that this replica never voted before. A voter whose folder is
+     * empty may have lost its disk; it must not vote again under the same name. So it takes part
+     * only when all other voters are new too, or when it is no voter.
+     */
+    private suspend fun awaitBirth() {
+        val others = initial.voters - self
+        val fresh = HashSet<HostId>()
+        while (self in initial.voters && !fresh.containsAll(others)) {
+            others.forEach(listener::askHistory)
+            val answer = withTimeoutOrNull(BIRTH_INTERVAL) { mailbox.receive() }
+            if (answer is ReplicaTaskMessage.Query) answer.onReply(ControlReply.NotLeader(null))
+            if (answer !is ReplicaTaskMessage.History) continue
+            if (!answer.hasHistory) fresh += answer.from else noteLostDisk(answer.from)
+        }
+        // The others must hear that this replica has no history before it can get any.
+        delay(BIRTH_PAUSE)
+        withContext(Dispatchers.IO) { storage.append(HardState(), emptyList()) }
+        isNewborn = false
+    }
+
+    private fun noteLostDisk(witness: HostId) {
+        if (isDiskLost) return
+        isDiskLost = true
+        log.error(
+            "the data folder is empty but the group has history according to {}; " +
+                "remove this host from the group and add it again",
+            witness
+        )
+    }
+
+    private fun handle(message: ReplicaTaskMessage) {
+        when (message) {
+            is ReplicaTaskMessage.FromPeer ->
+                replica.receive(message.from, message.message, clock.now())
+
+            is ReplicaTaskMessage.Query -> onQuery(message.query, message.onReply)
+
+            ReplicaTaskMessage.HandOver -> replica.transfer(clock.now())
+
+            is ReplicaTaskMessage.History -> Unit
+        }
+    }
+
+    private fun onQuery(query: ControlQuery, onReply: (ControlReply) -> Unit) {
+        when (query) {
+            is ControlQuery.Apply -> propose(encodeCommand(query.command), onReply)
+
+            is ControlQuery.ChangeMembers -> changeMembers(query, onReply)
+
+            is ControlQuery.CurrentPolicy,
+            is ControlQuery.PolicyOf,
+            ControlQuery.PolicyHistory -> {
+                val read = ReadId(++lastRead)
+                reads[read] = PendingRead(query, onReply)
+                replica.read(read, clock.now())
+            }
+        }
+    }
+
+    private fun propose(command: CommandBytes, onReply: (ControlReply) -> Unit) {
+        when (val proposal = replica.propose(command)) {
+            is Proposal.Rejected -> onReply(rejectionOf(proposal.error))
+
+            is Proposal.Accepted -> {
+                commands[proposal.index]?.onReply?.invoke(ControlReply.Lost)
+                commands[proposal.index] = PendingCommand(proposal.term, onReply)
+            }
+        }
+    }
+
+    private fun changeMembers(query: ControlQuery.ChangeMembers, onReply: (ControlReply) -> Unit) {
+        val change = when (query.change) {
+            GroupChange.AddLearner -> MemberChange.AddLearner(query.host)
+            GroupChange.Promote -> MemberChange.Promote(query.host)
+            GroupChange.Remove -> MemberChange.Remove(query.host)
+        }
+        when (val proposal = replica.change(change)) {
+            is Proposal.Rejected -> onReply(rejectionOf(proposal.error))
+
+            is Proposal.Accepted ->
+                commands[proposal.index] = PendingCommand(proposal.term, onReply)
+        }
+    }
+
+    private fun rejectionOf(error: ProposalError): ControlReply = when (error) {
+        is ProposalError.NotLeader -> ControlReply.NotLeader(error.leader)
+
+        ProposalError.ChangePending ->
+            ControlReply.Refused("an earlier change of members is not committed yet")
+
+        ProposalError.NotCaughtUp -> ControlReply.Refused("the learner has not caught up yet")
+
+        is ProposalError.Unfit -> ControlReply.Refused(error.reason)
+    }
+
+    private suspend fun carryOut() {
+        while (true) {
+            val effects = replica.effects()
+            if (effects.isEmpty) return
+            persist(effects)
+            effects.messages.forEach { listener.send(it.to, it.message) }
+            effects.snapshot?.let(::restore)
+            effects.committed.forEach(::apply)
+            effects.failedReads.forEach { failRead(it) }
+            grants += effects.grants
+            answerReads()
+            replica.persisted(effects)
+        }
+    }
+
+    /** Makes [effects] durable; tries again while the disk fails, and answers nothing meanwhile. */
+    private suspend fun persist(effects: Effects) {
+        if (effects.hardState == null && effects.snapshot == null &&
+            effects.entries.isEmpty()
+        ) {
+            return
+        }
+        while (true) {
+            try {
+                withContext(Dispatchers.IO) { write(effects) }
+                noteDisk(isFailing = false, cause = null)
+                return
+            } catch (e: IOException) {
+                noteDisk(isFailing = true, e)
+                delay(DISK_RETRY)
+                discardMailbox()
+            }
+        }
+    }
+
+    private fun write(effects: Effects) {
+        val snapshot = effects.snapshot
+        if (snapshot == null) {
+            storage.append(effects.hardState, effects.entries)
+        } else {
+            storage.replace(snapshot, effects.hardState, effects.entries)
+        }
+    }
+
+    private fun discardMailbox() {
+        while (true) {
+            val message = mailbox.tryReceive().getOrNull() ?: return
+            if (message is ReplicaTaskMessage.Query) message.onReply(ControlReply.NotLeader(null))
+        }
+    }
+
+    private fun noteDisk(isFailing: Boolean, cause: IOException?) {
+        if (isFailing == isDiskFailing) return
+        isDiskFailing = isFailing
+        noteStatus()
+        if (isFailing) {
+            log.error(
+                "the disk fails: {}",
+                cause?.toString()
+            )
+        } else {
+            log.info("the disk works")
+        }
+    }
+
+    private fun restore(snapshot: Snapshot) {
+        state = ControlState.fromSnapshot(snapshot.state)
+        applied = snapshot.head.index
+        commands.values.forEach { it.onReply(ControlReply.Lost) }
+        commands.clear()
+        state.policy?.let(listener::onPolicy)
+    }
+
+    private fun apply(entry: LogEntry) {
+        applied = entry.index
+        val pending = commands.remove(entry.index)
+        val reply = when (val content = entry.content) {
+            is EntryContent.Command -> applyCommand(content)
+            is EntryContent.Members -> ControlReply.MembersChanged
+            EntryContent.Empty -> ControlReply.Lost
+        }
+        pending?.onReply?.invoke(if (pending.term == entry.term) reply else ControlReply.Lost)
+    }
+
+    private fun applyCommand(content: EntryContent.Command): ControlReply {
+        val before = state.policy
+        val answer = state.apply(decodeCommand(content.command))
+        val after = state.policy
+        if (after != null && after !== before) listener.onPolicy(after)
+        return ControlReply.Answered(answer)
+    }
+
+    private fun failRead(read: ReadId) {
+        reads.remove(read)?.onReply?.invoke(ControlReply.NotLeader(replica.leader))
+    }
+
+    private fun answerReads() {
+        val ready = grants.filter { it.index <= applied }
+        grants.removeAll(ready)
+        for (grant in ready) {
+            val read = reads.remove(grant.read) ?: continue
+            read.onReply(answerOf(read.query))
+        }
+    }
+
+    private fun answerOf(query: ControlQuery): ControlReply = when (query) {
+        is ControlQuery.CurrentPolicy ->
+            ControlReply.PolicyRead(state.policy?.takeIf { it.head.revision > query.known })
+
+        ControlQuery.PolicyHistory -> ControlReply.HistoryRead(state.policyHistory)
+
+        is ControlQuery.PolicyOf -> ControlReply.PolicyRead(state.findPolicyOrNull(query.revision))
+
+        is ControlQuery.Apply, is ControlQuery.ChangeMembers -> ControlReply.Lost
+    }
+
+    private suspend fun snapshotIfDue() {
+        if (storage.logBytes < SNAPSHOT_AFTER_BYTES) return
+        val snapshot = Snapshot(replica.snapshotHead(), state.toSnapshot())
+        val rest = replica.compact(snapshot)
+        try {
+            withContext(Dispatchers.IO) { storage.replace(snapshot, null, rest) }
+        } catch (e: IOException) {
+            noteDisk(isFailing = true, e)
+        }
+    }
+
+    private fun noteStatus() {
+        status = currentStatus()
+        if (replica.role == loggedRole) return
+        loggedRole = replica.role
+        log.info("control replica is {} in term {}", replica.role, replica.term)
+    }
+
+    private fun currentStatus() = ReplicaStatus(
+        role = replica.role,
+        term = replica.term,
+        leader = replica.leader,
+        commitIndex = replica.commitIndex,
+        membership = replica.membership,
+        claims = state.status().claims,
+        isDiskFailing = isDiskFailing
+    )
+
+    private fun restoredState(): ControlState =
+        storage.restored.snapshot?.let { ControlState.fromSnapshot(it.state) } ?: ControlState()
+}
--- a/daemon/src/main/kotlin/io/primroseflow/daemon/operator/OperatorServers.kt
+++ b/daemon/src/main/kotlin/io/primroseflow/daemon/operator/OperatorServers.kt
@@ -15,18 +15,27 @@
 import io.ktor.server.netty.NettyApplicationEngine
 import io.ktor.server.request.httpMethod
 import io.ktor.server.request.path
+import io.ktor.server.request.receiveText
 import io.ktor.server.response.respondBytes
 import io.ktor.server.response.respondText
 import io.primroseflow.daemon.caller.ListenAddress
 import io.primroseflow.daemon.caller.sha256
+import io.primroseflow.daemon.peer.GroupChange
 import io.primroseflow.daemon.target.TargetBoard
 import io.primroseflow.daemon.target.TargetConcern
 import io.primroseflow.model.RequestId
 import io.primroseflow.model.TargetId
+import io.primroseflow.operations.ApplyRequest
+import io.primroseflow.operations.MemberRequest
+import io.primroseflow.operations.MemberStep
+import io.primroseflow.operations.OperationReply
+import io.primroseflow.operations.RollbackRequest
 import io.primroseflow.status.HostStatus
 import io.primroseflow.timeline.Timeline
 import io.primroseflow.timeline.TimelineEvent
 import java.security.MessageDigest
+import kotlinx.serialization.KSerializer
+import kotlinx.serialization.SerializationException
 import kotlinx.serialization.builtins.ListSerializer
 import kotlinx.serialization.json.Json
 
@@ -59,7 +68,8 @@
     private val view: OperatorView,
     private val timeline: Timeline,
     private val metrics: DaemonMetrics,
-    private val board: TargetBoard
+    private val board: TargetBoard,
+    private val changes: PolicyChanges
 ) {
     private val json = Json { encodeDefaults = true }
 
@@ -107,10 +117,25 @@
     private suspend fun handleAuthorized(call: ApplicationCall, path: String) {
         when {
             path == "/metrics" -> call.respondBytes(metrics.scrape(), metricsType)
+
             path == "/status" -> respondJson(call, json.encodeToString(view.status()))
+
             path == "/timeline" -> answerTimeline(call)
-            path == "/policy" -> call.respondText(view.policyText())
+
+            path == "/policy" && call.request.httpMethod == HttpMethod.Get ->
+                call.respondText(view.policyText())
+
+            path == "/policy" -> answerChange(call, ApplyRequest.serializer(), changes::apply)
+
+            path == "/policy/rollback" ->
+                answerChange(call, RollbackRequest.serializer(), ::rollBack)
+
+            path == "/policy/history" -> respondReply(call, changes.history())
+
+            path == "/members" -> answerChange(call, MemberRequest.serializer(), ::changeMembers)
+
             path.startsWith(DRAIN_PATH) && path.endsWith(DRAIN_SUFFIX) -> answerDrain(call, path)
+
             else -> call.respondText("no such page\n", status = HttpStatusCode.NotFound)
         }
     }
@@ -148,6 +173,56 @@
         call.respondText("accepted\n", status = HttpStatusCode.Accepted)
     }
 
+    private suspend fun <T> answerChange(
+        call: ApplicationCall,
+        serializer: KSerializer<T>,
+        change: suspend (T) -> OperationReply
+    ) {
+        if (call.request.httpMethod != HttpMethod.Post) {
+            call.respondText("use POST\n", status = HttpStatusCode.MethodNotAllowed)
+            return
+        }
+        val request = try {
+            json.decodeFromString(serializer, call.receiveText())
+        } catch (e: SerializationException) {
+            call.respondText("${e.message}\n", status = HttpStatusCode.BadRequest)
+            return
+        }
+        respondReply(call, change(request))
+    }
+
+    private suspend fun rollBack(request: RollbackRequest): OperationReply = changes.rollBack(
+        operation = request.operation,
+        author = request.author,
+        expected = request.expected,
+        revision = request.revision
+    )
+
+    private suspend fun changeMembers(request: MemberRequest): OperationReply {
+        val change = when (request.step) {
+            MemberStep.Add -> GroupChange.AddLearner
+            MemberStep.Promote -> GroupChange.Promote
+            MemberStep.Remove -> GroupChange.Remove
+        }
+        return changes.changeMembers(change, request.host)
+    }
+
+    private suspend fun respondReply(call: ApplicationCall, reply: OperationReply) {
+        val status = when (reply) {
+            is OperationReply.Accepted, OperationReply.Done, is OperationReply.History ->
+                HttpStatusCode.OK
+
+            is OperationReply.Conflict -> HttpStatusCode.Conflict
+
+            is OperationReply.Invalid, is OperationReply.Refused ->
+                HttpStatusCode.UnprocessableEntity
+
+            OperationReply.NoQuorum -> HttpStatusCode.ServiceUnavailable
+        }
+        val text = json.encodeToString(OperationReply.serializer(), reply)
+        call.respondText(text, ContentType.Application.Json, status)
+    }
+
     private suspend fun respondJson(call: ApplicationCall, text: String) =
         call.respondText(text, ContentType.Application.Json)
 
--- /dev/null
+++ b/daemon/src/main/kotlin/io/primroseflow/daemon/operator/StatusReports.kt
@@ -0,0 +1,117 @@
+package io.primroseflow.daemon.operator
+
+import io.primroseflow.daemon.DaemonSettings
+import io.primroseflow.daemon.caller.CallerServer
+import io.primroseflow.daemon.control.ControlPlane
+import io.primroseflow.daemon.control.PolicyInForce
+import io.primroseflow.daemon.request.OutcomeRegistry
+import io.primroseflow.daemon.scheduling.PoolTask
+import io.primroseflow.daemon.scheduling.PoolTasks
+import io.primroseflow.daemon.target.TargetBoard
+import io.primroseflow.model.PoolId
+import io.primroseflow.policy.fingerprint
+import io.primroseflow.status.HostPhase
+import io.primroseflow.status.HostStatus
+import io.primroseflow.status.PoolStatus
+import io.primroseflow.status.PoolTargetStatus
+import kotlin.time.Clock
+
+/** Puts the state of this host together for operators and metrics. */
+internal class StatusReport(
+    private val settings: DaemonSettings,
+    private val clock: Clock,
+    private val policy: PolicyInForce,
+    private val callerServer: CallerServer,
+    private val registry: OutcomeRegistry,
+    private val pools: PoolTasks,
+    private val board: TargetBoard,
+    private val controlPlane: ControlPlane
+) {
+    private val startedAt = clock.now()
+
+    /** Open caller connections. */
+    val connections: Int get() = callerServer.connections.value
+
+    /** Requests without an outcome. */
+    val inProgress: Int get() = registry.inProgressCount
+
+    /** Outcomes that can be fetched. */
+    val recordedOutcomes: Int get() = registry.endedCount
+
+    /** Bytes of answers that can be fetched. */
+    val recordedBytes: Long get() = registry.recordedBytes
+
+    /** Revision of the policy in force. */
+    val policyRevision: Long get() = policy.revision.number
+
+    /** Bytes sent to other hosts. */
+    val peerBytesSent: Long get() = controlPlane.traffic.sentBytes.get()
+
+    /** Messages sent to other hosts. */
+    val peerMessagesSent: Long get() = controlPlane.traffic.sentMessages.get()
+
+    /** Connections to other hosts that were opened anew. */
+    val peerRedials: Long get() = controlPlane.traffic.redials.get()
+
+    /** Returns the state of this host. */
+    suspend fun make(phase: HostPhase): HostStatus = HostStatus(
+        host = settings.host,
+        dataCentre = settings.dataCentre,
+        site = policy.checked.policy.site,
+        phase = phase,
+        policyRevision = policy.revision.number,
+        policyConfirmedMillis = policy.confirmedAt?.let { (clock.now() - it).inWholeMilliseconds },
+        policyFingerprint = policy.checked.document.fingerprint(),
+        uptimeMillis = (clock.now() - startedAt).inWholeMilliseconds,
+        connections = connections,
+        inProgress = inProgress,
+        recordedOutcomes = recordedOutcomes,
+        pools = pools.all.map { (id, task) -> poolStatus(id, task) },
+        peers = controlPlane.members,
+        control = controlPlane.replicaStatus()
+    )
+
+    private suspend fun poolStatus(id: PoolId, task: PoolTask): PoolStatus {
+        val status = task.status()
+        val targets = status.targets.map { target ->
+            PoolTargetStatus(
+                target = target.target,
+                health = target.health.name,
+                concerns = board.conditions[target.target]?.concerns.orEmpty().map { it.name },
+                inFlight = target.inFlight,
+                slots = target.slotLimit,
+                isStraggler = target.isStraggler
+            )
+        }
+        return PoolStatus(id, status.waiting, status.running, status.floor?.rank, targets)
+    }
+}
+
+/** Adds the gauges of [report] to these metrics. */
+internal fun DaemonMetrics.addGauges(report: StatusReport, ready: () -> Double) {
+    gauge("primroseflow_ready", "Whether the host is ready for callers", ready)
+    gauge("primroseflow_requests_in_progress", "Requests that have no outcome yet") {
+        report.inProgress.toDouble()
+    }
+    gauge("primroseflow_caller_connections", "Open caller connections") {
+        report.connections.toDouble()
+    }
+    gauge("primroseflow_recorded_outcomes", "Outcomes that can be fetched") {
+        report.recordedOutcomes.toDouble()
+    }
+    gauge("primroseflow_recorded_answer_bytes", "Bytes of answers that can be fetched") {
+        report.recordedBytes.toDouble()
+    }
+    gauge("primroseflow_policy_revision", "Revision of the policy in force") {
+        report.policyRevision.toDouble()
+    }
+    gauge("primroseflow_peer_sent_bytes", "Bytes sent to other hosts") {
+        report.peerBytesSent.toDouble()
+    }
+    gauge("primroseflow_peer_sent_messages", "Messages sent to other hosts") {
+        report.peerMessagesSent.toDouble()
+    }
+    gauge("primroseflow_peer_redials", "Connections to other hosts that were opened anew") {
+        report.peerRedials.toDouble()
+    }
+}
--- /dev/null
+++ b/daemon/src/main/kotlin/io/primroseflow/daemon/peer/PeerLinks.kt
@@ -0,0 +1,269 @@
+package io.primroseflow.daemon.peer
+
+import io.ktor.network.selector.SelectorManager
+import io.ktor.network.sockets.ServerSocket
+import io.ktor.network.sockets.Socket
+import io.ktor.network.sockets.aSocket
+import io.ktor.network.sockets.openReadChannel
+import io.ktor.network.sockets.openWriteChannel
+import io.ktor.network.sockets.port
+import io.ktor.utils.io.ByteReadChannel
+import io.ktor.utils.io.ByteWriteChannel
+import io.primroseflow.daemon.PeerAddress
+import io.primroseflow.model.HostId
+import io.primroseflow.timeline.HybridClock
+import java.io.IOException
+import java.util.concurrent.ConcurrentHashMap
+import java.util.concurrent.atomic.AtomicLong
+import kotlin.time.Clock
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+import kotlin.time.Instant
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Dispatchers
+import kotlinx.coroutines.cancelChildren
+import kotlinx.coroutines.channels.BufferOverflow
+import kotlinx.coroutines.channels.Channel
+import kotlinx.coroutines.coroutineScope
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.withTimeoutOrNull
+import kotlinx.serialization.SerializationException
+import org.apache.logging.log4j.LogManager
+
+/** Messages that wait for a link; the oldest are dropped beyond that. */
+private const val QUEUE_SIZE = 4_096
+
+/** Messages in one frame. */
+private const val MAX_BATCH = 128
+
+private val CONNECT_TIMEOUT: Duration = 1.seconds
+
+/** Time without a message after which a link is tested. */
+private val PING_INTERVAL: Duration = 500.milliseconds
+
+/** Time without any frame after which a connection counts as lost and is dialled again. */
+private val SILENCE_LIMIT: Duration = 1_500.milliseconds
+
+private val REDIAL_PAUSE: Duration = 200.milliseconds
+
+/** Time without a message after which a link is closed until the next message. */
+private val IDLE_LIMIT: Duration = 30.seconds
+
+/** Bytes and messages that this host has exchanged with other hosts. */
+internal class PeerTraffic {
+    val sentBytes: AtomicLong = AtomicLong()
+    val sentMessages: AtomicLong = AtomicLong()
+    val receivedMessages: AtomicLong = AtomicLong()
+    val redials: AtomicLong = AtomicLong()
+}
+
+/** Handles messages from other hosts; must not block. */
+internal fun interface PeerHandler {
+    /** Handles [message] of host [from]. */
+    fun handle(from: HostId, message: PeerMessage)
+}
+
+/**
+ * The connections of this host to the other hosts.
+ *
+ * Each host dials the hosts that it sends to; a connection carries messages one way. Both sides
+ * notice a connection that has gone silent by heartbeats, and the dialling side opens a new one.
+ */
+internal class PeerLinks(
+    private val self: HostId,
+    private val scope: CoroutineScope,
+    private val clock: Clock,
+    private val hybridClock: HybridClock,
+    private val handler: PeerHandler
+) : AutoCloseable {
+    private val log = LogManager.getLogger(PeerLinks::class.java)
+    private val selector = SelectorManager(Dispatchers.IO)
+    private val links = ConcurrentHashMap<HostId, PeerLink>()
+    private val heardAt = ConcurrentHashMap<HostId, Instant>()
+    private var server: ServerSocket? = null
+
+    @Volatile
+    private var addresses: Map<HostId, PeerAddress> = emptyMap()
+
+    /** What has been exchanged so far. */
+    val traffic: PeerTraffic = PeerTraffic()
+
+    /** Replaces the addresses of the other hosts. */
+    fun updateAddresses(peers: Collection<PeerAddress>) {
+        addresses = peers.associateBy { it.host }
+    }
+
+    /** Listens at [port] of [address]; returns the port, a free one for 0. */
+    suspend fun listen(address: String, port: Int): Int {
+        val bound = aSocket(selector).tcp().bind(address, port) { reuseAddress = true }
+        server = bound
+        scope.launch {
+            while (true) {
+                val socket = bound.accept()
+                launch { serve(socket) }
+            }
+        }
+        return bound.port
+    }
+
+    /** Sends [message] to [to], as soon as there is a connection; it may be lost. */
+    fun send(to: HostId, message: PeerMessage) {
+        if (to == self) {
+            handler.handle(self, message)
+            return
+        }
+        links.computeIfAbsent(to) { startLink(it) }.offer(message)
+    }
+
+    /** Returns the time at which a frame of [host] last arrived, or `null`. */
+    fun heardAtOrNull(host: HostId): Instant? = heardAt[host]
+
+    override fun close() {
+        server?.close()
+        selector.close()
+    }
+
+    private fun startLink(to: HostId): PeerLink {
+        val link = PeerLink()
+        scope.launch { maintain(to, link) }
+        return link
+    }
+
+    /** Keeps a connection to [to] while there is something to send. */
+    private suspend fun maintain(to: HostId, link: PeerLink) {
+        while (true) {
+            link.awaitMessage()
+            val address = addresses[to]
+            if (address == null) {
+                link.drain()
+                continue
+            }
+            runConnection(to, address, link)
+            traffic.redials.incrementAndGet()
+            delay(REDIAL_PAUSE)
+        }
+    }
+
+    private suspend fun runConnection(to: HostId, address: PeerAddress, link: PeerLink) {
+        try {
+            val socket = withTimeoutOrNull(CONNECT_TIMEOUT) {
+                aSocket(selector).tcp().connect(address.address, address.port) { noDelay = true }
+            } ?: return
+            socket.use { exchange(to, it, link) }
+        } catch (e: IOException) {
+            log.debug("link to {} failed: {}", to, e.toString())
+        } catch (e: SerializationException) {
+            log.warn("link to {} sent a malformed frame: {}", to, e.toString())
+        } catch (e: PeerProtocolException) {
+            log.warn("link to {} broke the protocol: {}", to, e.toString())
+        }
+    }
+
+    private suspend fun exchange(to: HostId, socket: Socket, link: PeerLink) = coroutineScope {
+        val output = socket.openWriteChannel()
+        val input = socket.openReadChannel()
+        write(output, PeerFrame.Hello(PROTOCOL_VERSION, self, to, hybridClock.next()))
+        val reader = launch {
+            while (true) {
+                readFrameInTime(input)
+                heardAt[to] = clock.now()
+            }
+        }
+        writeMessages(output, link)
+        reader.cancel()
+        coroutineContext.cancelChildren()
+    }
+
+    /** Writes messages and heartbeats until the link has been idle for long. */
+    private suspend fun writeMessages(output: ByteWriteChannel, link: PeerLink) {
+        var pings = 0L
+        var idleSince = clock.now()
+        while (clock.now() - idleSince < IDLE_LIMIT) {
+            val messages = withTimeoutOrNull(PING_INTERVAL) { link.takeBatch() }
+            if (messages == null) {
+                write(output, PeerFrame.Ping(++pings))
+                continue
+            }
+            idleSince = clock.now()
+            traffic.sentMessages.addAndGet(messages.size.toLong())
+            write(output, PeerFrame.Batch(hybridClock.next(), messages))
+        }
+    }
+
+    private suspend fun readFrameInTime(input: ByteReadChannel): PeerFrame =
+        withTimeoutOrNull(SILENCE_LIMIT) { input.readFrame() }
+            ?: throw IOException("no frame for $SILENCE_LIMIT")
+
+    private suspend fun write(output: ByteWriteChannel, frame: PeerFrame) {
+        traffic.sentBytes.addAndGet(output.writeFrame(frame).toLong())
+    }
+
+    private suspend fun serve(socket: Socket) {
+        try {
+            socket.use { serveConnection(it.openReadChannel(), it.openWriteChannel()) }
+        } catch (e: IOException) {
+            log.debug("an incoming link failed: {}", e.toString())
+        } catch (e: SerializationException) {
+            log.warn("an incoming link sent a malformed frame: {}", e.toString())
+        } catch (e: PeerProtocolException) {
+            log.warn("an incoming link broke the protocol: {}", e.toString())
+        }
+    }
+
+    private suspend fun serveConnection(input: ByteReadChannel, output: ByteWriteChannel) {
+        val hello = readFrameInTime(input) as? PeerFrame.Hello
+            ?: throw PeerProtocolException("the first frame is not a greeting")
+        if (hello.version != PROTOCOL_VERSION) {
+            throw PeerProtocolException("${hello.from} has protocol version ${hello.version}")
+        }
+        if (hello.to != self) throw PeerProtocolException("${hello.from} wants ${hello.to}")
+        hybridClock.observe(hello.at)
+        var answeredAt = clock.now()
+        while (true) {
+            val frame = readFrameInTime(input)
+            heardAt[hello.from] = clock.now()
+            receive(hello.from, frame)
+            val isAnswerDue = frame is PeerFrame.Ping || clock.now() - answeredAt >= PING_INTERVAL
+            if (!isAnswerDue) continue
+            answeredAt = clock.now()
+            write(output, PeerFrame.Pong((frame as? PeerFrame.Ping)?.number ?: 0))
+        }
+    }
+
+    private fun receive(from: HostId, frame: PeerFrame) {
+        if (frame !is PeerFrame.Batch) return
+        hybridClock.observe(frame.at)
+        traffic.receivedMessages.addAndGet(frame.messages.size.toLong())
+        frame.messages.forEach { handler.handle(from, it) }
+    }
+}
+
+/** The messages on their way to one host. */
+private class PeerLink {
+    private val queue = Channel<PeerMessage>(QUEUE_SIZE, BufferOverflow.DROP_OLDEST)
+    private var first: PeerMessage? = null
+
+    fun offer(message: PeerMessage) {
+        queue.trySend(message)
+    }
+
+    suspend fun awaitMessage() {
+        if (first == null) first = queue.receive()
+    }
+
+    fun drain() {
+        first = null
+        while (queue.tryReceive().isSuccess) Unit
+    }
+
+    suspend fun takeBatch(): List<PeerMessage> {
+        awaitMessage()
+        val batch = ArrayList<PeerMessage>()
+        first?.let { batch += it }
+        first = null
+        while (batch.size < MAX_BATCH) batch += queue.tryReceive().getOrNull() ?: break
+        return batch
+    }
+}
--- /dev/null
+++ b/daemon/src/main/kotlin/io/primroseflow/daemon/peer/PeerMessages.kt
@@ -0,0 +1,162 @@
+package io.primroseflow.daemon.peer
+
+import io.primroseflow.consensus.ReplicaMessage
+import io.primroseflow.control.AcceptedPolicy
+import io.primroseflow.control.ControlAnswer
+import io.primroseflow.control.ControlCommand
+import io.primroseflow.control.PolicyHead
+import io.primroseflow.control.PolicyRevision
+import io.primroseflow.membership.MemberNews
+import io.primroseflow.model.HostId
+import io.primroseflow.timeline.HybridTime
+import kotlinx.serialization.SerialName
+import kotlinx.serialization.Serializable
+
+/** The version of the protocol between hosts. */
+internal const val PROTOCOL_VERSION: Int = 1
+
+/** Identifies a call at the host that makes it. */
+@JvmInline
+@Serializable
+internal value class CallId(val number: Long)
+
+/** A change of the group that an operator asks for. */
+@Serializable
+internal enum class GroupChange { AddLearner, Promote, Remove }
+
+/** What is asked of a control replica. */
+@Serializable
+internal sealed interface ControlQuery {
+    /** Applies a command. */
+    @Serializable
+    @SerialName("cmd")
+    data class Apply(val command: ControlCommand) : ControlQuery
+
+    /** Reads the policy in force when it is later than [known]. */
+    @Serializable
+    @SerialName("pol")
+    data class CurrentPolicy(val known: PolicyRevision) : ControlQuery
+
+    /** Reads the policy of a revision. */
+    @Serializable
+    @SerialName("rev")
+    data class PolicyOf(val revision: PolicyRevision) : ControlQuery
+
+    /** Reads the heads of the accepted policies. */
+    @Serializable
+    @SerialName("his")
+    data object PolicyHistory : ControlQuery
+
+    /** Changes the members of the group. */
+    @Serializable
+    @SerialName("mem")
+    data class ChangeMembers(val change: GroupChange, val host: HostId) : ControlQuery
+}
+
+/** What a control replica answers. */
+@Serializable
+internal sealed interface ControlReply {
+    /** The answer to a command. */
+    @Serializable
+    @SerialName("ans")
+    data class Answered(val answer: ControlAnswer) : ControlReply
+
+    /** A policy, `null` when there is none that was asked for. */
+    @Serializable
+    @SerialName("pol")
+    data class PolicyRead(val policy: AcceptedPolicy?) : ControlReply
+
+    /** The heads of the accepted policies. */
+    @Serializable
+    @SerialName("his")
+    data class HistoryRead(val heads: List<PolicyHead>) : ControlReply
+
+    /** The change of members is accepted. */
+    @Serializable
+    @SerialName("mem")
+    data object MembersChanged : ControlReply
+
+    /** The query cannot be done, for [reason]. */
+    @Serializable
+    @SerialName("no")
+    data class Refused(val reason: String) : ControlReply
+
+    /** The replica does not lead; [leader] is the one it knows of. */
+    @Serializable
+    @SerialName("nl")
+    data class NotLeader(val leader: HostId?) : ControlReply
+
+    /** It is not known whether the command was applied. */
+    @Serializable
+    @SerialName("lost")
+    data object Lost : ControlReply
+}
+
+/** A message between two hosts. Messages may be lost, and callers repeat them. */
+@Serializable
+internal sealed interface PeerMessage {
+    /** A message between control replicas. */
+    @Serializable
+    @SerialName("rep")
+    data class Replication(val message: ReplicaMessage) : PeerMessage
+
+    /** A query to a control replica. */
+    @Serializable
+    @SerialName("ask")
+    data class ControlCall(val call: CallId, val query: ControlQuery) : PeerMessage
+
+    /** The answer to a [ControlCall]. */
+    @Serializable
+    @SerialName("re")
+    data class ControlReturn(val call: CallId, val reply: ControlReply) : PeerMessage
+
+    /** Asks whether the receiver's control replica has any history. */
+    @Serializable
+    @SerialName("new")
+    data object HistoryQuestion : PeerMessage
+
+    /** Answers a [HistoryQuestion]. */
+    @Serializable
+    @SerialName("old")
+    data class HistoryAnswer(val hasHistory: Boolean) : PeerMessage
+
+    /** News of hosts, spread from host to host. */
+    @Serializable
+    @SerialName("gos")
+    data class Gossip(val news: List<MemberNews>) : PeerMessage
+
+    /** Asks for the policy, which the receiver knows in a later revision than [known]. */
+    @Serializable
+    @SerialName("pull")
+    data class PolicyPull(val known: PolicyRevision) : PeerMessage
+
+    /** An accepted policy. */
+    @Serializable
+    @SerialName("push")
+    data class PolicyPush(val policy: AcceptedPolicy) : PeerMessage
+}
+
+/** What is written to a connection between two hosts. */
+@Serializable
+internal sealed interface PeerFrame {
+    /** Opens a connection. */
+    @Serializable
+    @SerialName("hi")
+    data class Hello(val version: Int, val from: HostId, val to: HostId, val at: HybridTime) :
+        PeerFrame
+
+    /** Carries messages. */
+    @Serializable
+    @SerialName("m")
+    data class Batch(val at: HybridTime, val messages: List<PeerMessage>) : PeerFrame
+
+    /** Asks for a [Pong]. */
+    @Serializable
+    @SerialName("i")
+    data class Ping(val number: Long) : PeerFrame
+
+    /** Answers a [Ping]. */
+    @Serializable
+    @SerialName("o")
+    data class Pong(val number: Long) : PeerFrame
+}
--- a/daemon/src/main/kotlin/io/primroseflow/daemon/request/AcceptedRequests.kt
+++ b/daemon/src/main/kotlin/io/primroseflow/daemon/request/AcceptedRequests.kt
@@ -9,6 +9,7 @@
 import io.primroseflow.policy.Pool
 import io.primroseflow.policy.Tier
 import io.primroseflow.scheduling.Ticket
+import java.util.UUID
 import kotlin.time.Instant
 import kotlinx.collections.immutable.PersistentList
 
@@ -36,6 +37,7 @@
  * A request that was accepted from a caller.
  *
  * @property key present on non-idempotent requests only
+ * @property attempt identifies this attempt among all attempts of all requests
  * @property bodyDigest tells a resend from another request with the same id
  */
 internal class AcceptedRequest(
@@ -48,7 +50,8 @@
     val key: IdempotencyKey?,
     val deadline: Instant,
     val work: Work,
-    val bodyDigest: String
+    val bodyDigest: String,
+    val attempt: String = UUID.randomUUID().toString()
 ) {
     val ticket: Ticket get() = Ticket(team, id)
 
--- a/daemon/src/main/kotlin/io/primroseflow/daemon/request/RequestTasks.kt
+++ b/daemon/src/main/kotlin/io/primroseflow/daemon/request/RequestTasks.kt
@@ -174,18 +174,28 @@
                 null
             }
 
-            ClaimAnswer.NoQuorum ->
-                Outcome.NotRun(Refusal.NoQuorum, Refusal.NoQuorum.retryAfter)
+            is ClaimAnswer.Refused -> Outcome.NotRun(claim.refusal, claim.refusal.retryAfter)
 
-            is ClaimAnswer.HeldByOther ->
-                claim.outcome ?: Outcome.Unknown(Interruption.ClaimantLost)
+            ClaimAnswer.OtherRequest -> Outcome.NotRun(Refusal.KeyInUse)
+
+            is ClaimAnswer.HeldByOther -> outcomeOfHolder(claim)
+        }
+    }
+
+    /** Takes over the recorded answer of the request that holds the key. */
+    private fun outcomeOfHolder(claim: ClaimAnswer.HeldByOther): Outcome {
+        val outcome = claim.outcome ?: return Outcome.Unknown(Interruption.ClaimantLost)
+        if (outcome is Outcome.Delivered && claim.parts.isEmpty()) {
+            return Outcome.Unknown(Interruption.AnswerNotKept)
         }
+        claim.parts.forEach(answer::append)
+        return outcome
     }
 
     private fun releaseClaim(outcome: Outcome) {
         if (!holdsClaim) return
         holdsClaim = false
-        services.ledger.record(request, outcome)
+        services.ledger.record(request, outcome, answer.after(0).parts)
     }
 
     /** Runs the exchange with [target] and returns the event that ends it. */
--- /dev/null
+++ b/daemon/src/main/kotlin/io/primroseflow/daemon/storage/DataFolders.kt
@@ -0,0 +1,139 @@
+package io.primroseflow.daemon.storage
+
+import java.io.IOException
+import java.nio.ByteBuffer
+import java.nio.channels.FileChannel
+import java.nio.channels.FileLock
+import java.nio.channels.OverlappingFileLockException
+import java.nio.file.Files
+import java.nio.file.Path
+import java.nio.file.StandardCopyOption
+import java.nio.file.StandardOpenOption
+import kotlin.io.path.createDirectories
+import kotlin.io.path.listDirectoryEntries
+import kotlin.io.path.name
+
+/** A file that grows at its end. */
+internal interface GrowingFile : AutoCloseable {
+    /**
+     * Appends [bytes] and makes them durable; on failure the file is as it was before.
+     *
+     * @throws IOException when the bytes could not be made durable
+     */
+    fun append(bytes: ByteArray)
+}
+
+/** The folder of the durable state. */
+internal interface DataFolder : AutoCloseable {
+    /** Names of all files. */
+    fun names(): List<String>
+
+    /** Reads a whole file. */
+    fun read(name: String): ByteArray
+
+    /** Writes a whole file, so that after a crash it is there whole or not at all. */
+    fun write(name: String, bytes: ByteArray)
+
+    /** Opens a file for appending after its first [size] bytes; what follows is cut off. */
+    fun open(name: String, size: Long): GrowingFile
+
+    /** Deletes a file. */
+    fun delete(name: String)
+}
+
+/** The data folder is in use by another process. */
+internal class FolderLockedException(folder: Path) :
+    IOException("the data folder $folder is in use by another process")
+
+private const val LOCK_NAME = "lock"
+
+private const val TEMPORARY_SUFFIX = ".tmp"
+
+/** A folder on a disk, locked against other processes. */
+internal class DiskFolder(private val path: Path) : DataFolder {
+    private val lockFile: FileChannel
+    private val lock: FileLock
+
+    init {
+        path.createDirectories()
+        lockFile = FileChannel.open(
+            path.resolve(LOCK_NAME),
+            StandardOpenOption.CREATE,
+            StandardOpenOption.WRITE
+        )
+        lock = tryLock() ?: throw FolderLockedException(path)
+        path.listDirectoryEntries("*$TEMPORARY_SUFFIX").forEach(Files::delete)
+    }
+
+    override fun names(): List<String> =
+        path.listDirectoryEntries().map { it.name }.filter { it != LOCK_NAME }
+
+    override fun read(name: String): ByteArray = Files.readAllBytes(path.resolve(name))
+
+    override fun write(name: String, bytes: ByteArray) {
+        val temporary = path.resolve(name + TEMPORARY_SUFFIX)
+        FileChannel.open(
+            temporary,
+            StandardOpenOption.CREATE,
+            StandardOpenOption.TRUNCATE_EXISTING,
+            StandardOpenOption.WRITE
+        ).use { file ->
+            file.writeFully(bytes)
+            file.force(true)
+        }
+        Files.move(temporary, path.resolve(name), StandardCopyOption.ATOMIC_MOVE)
+        syncFolder()
+    }
+
+    override fun open(name: String, size: Long): GrowingFile {
+        val file = FileChannel.open(path.resolve(name), StandardOpenOption.WRITE)
+        file.truncate(size)
+        file.force(true)
+        file.position(size)
+        return DiskFile(file)
+    }
+
+    override fun delete(name: String) {
+        Files.deleteIfExists(path.resolve(name))
+    }
+
+    override fun close() {
+        lock.release()
+        lockFile.close()
+    }
+
+    private fun tryLock(): FileLock? = try {
+        lockFile.tryLock()
+    } catch (_: OverlappingFileLockException) {
+        null
+    }
+
+    private fun syncFolder() {
+        FileChannel.open(path, StandardOpenOption.READ).use { it.force(true) }
+    }
+}
+
+private class DiskFile(private val file: FileChannel) : GrowingFile {
+    private var durableSize = file.position()
+
+    override fun append(bytes: ByteArray) {
+        try {
+            file.position(durableSize)
+            file.writeFully(bytes)
+            file.force(false)
+            durableSize += bytes.size
+        } catch (e: IOException) {
+            file.truncate(durableSize)
+            throw e
+        }
+    }
+
+    override fun close() {
+        file.close()
+    }
+}
+
+private fun FileChannel.writeFully(bytes: ByteArray) {
+    val buffer = ByteBuffer.wrap(bytes)
+    while (buffer.hasRemaining()) write(buffer)
+}
--- /dev/null
+++ b/daemon/src/main/kotlin/io/primroseflow/daemon/storage/Frames.kt
@@ -0,0 +1,74 @@
+package io.primroseflow.daemon.storage
+
+import java.nio.ByteBuffer
+import java.util.zip.CRC32C
+
+/** Start of every frame, used to tell a torn end from a corrupt middle. */
+private const val MAGIC = 0x50664C67
+
+/** Bytes of magic number, length and checksum. */
+internal const val FRAME_HEADER_SIZE: Int = 12
+
+/** Longest content of a frame, in bytes. */
+internal const val MAX_FRAME_SIZE: Int = 256 * 1024 * 1024
+
+/** Returns [content] with magic number, length and checksum before it. */
+internal fun encodeFrame(content: ByteArray): ByteArray {
+    require(content.size <= MAX_FRAME_SIZE) { "frame of ${content.size} bytes" }
+    val frame = ByteBuffer.allocate(FRAME_HEADER_SIZE + content.size)
+    frame.putInt(MAGIC).putInt(content.size).putInt(checksum(content)).put(content)
+    return frame.array()
+}
+
+/** The frames of a file. */
+internal sealed interface FrameScan {
+    /** All frames up to [end] are good; what follows is the torn end of the last write. */
+    class Good(val contents: List<ByteArray>, val end: Int) : FrameScan
+
+    /** The frame at [offset] is damaged although good frames follow it. */
+    class CorruptMiddle(val offset: Int) : FrameScan
+}
+
+/** Reads the frames of [file]. */
+internal fun scanFrames(file: ByteArray): FrameScan {
+    val contents = ArrayList<ByteArray>()
+    var position = 0
+    while (position < file.size) {
+        val content = frameAtOrNull(file, position)
+        if (content == null) {
+            val isTorn = !hasFrameAfter(file, position + 1)
+            return if (isTorn) {
+                FrameScan.Good(
+                    contents,
+                    position
+                )
+            } else {
+                FrameScan.CorruptMiddle(position)
+            }
+        }
+        contents += content
+        position += FRAME_HEADER_SIZE + content.size
+    }
+    return FrameScan.Good(contents, position)
+}
+
+private fun hasFrameAfter(file: ByteArray, start: Int): Boolean =
+    (start..file.size - FRAME_HEADER_SIZE).any { frameAtOrNull(file, it) != null }
+
+private fun frameAtOrNull(file: ByteArray, position: Int): ByteArray? {
+    if (file.size - position < FRAME_HEADER_SIZE) return null
+    val header = ByteBuffer.wrap(file, position, FRAME_HEADER_SIZE)
+    if (header.int != MAGIC) return null
+    val length = header.int
+    val expected = header.int
+    if (length < 0 || length > file.size - position - FRAME_HEADER_SIZE) return null
+    val start = position + FRAME_HEADER_SIZE
+    val content = file.copyOfRange(start, start + length)
+    return content.takeIf { checksum(it) == expected }
+}
+
+private fun checksum(content: ByteArray): Int {
+    val crc = CRC32C()
+    crc.update(content)
+    return crc.value.toInt()
+}
--- /dev/null
+++ b/daemon/src/main/kotlin/io/primroseflow/daemon/storage/ReplicaStorage.kt
@@ -0,0 +1,230 @@
+package io.primroseflow.daemon.storage
+
+import com.github.michaelbull.result.Err
+import com.github.michaelbull.result.Ok
+import com.github.michaelbull.result.Result
+import com.github.michaelbull.result.getOrElse
+import io.primroseflow.consensus.HardState
+import io.primroseflow.consensus.LogEntry
+import io.primroseflow.consensus.LogIndex
+import io.primroseflow.consensus.RestoredState
+import io.primroseflow.consensus.Snapshot
+import java.io.IOException
+import kotlinx.serialization.ExperimentalSerializationApi
+import kotlinx.serialization.Serializable
+import kotlinx.serialization.SerializationException
+import kotlinx.serialization.cbor.Cbor
+
+/** Why a data folder cannot be used. */
+internal sealed interface StorageError {
+    /** The folder was written by a version with another format. */
+    data class UnknownFormat(val found: String) : StorageError {
+        override fun toString(): String =
+            "the data folder has the unknown format '$found'; start the version that wrote it"
+    }
+
+    /** A file is damaged where no crash can have damaged it. */
+    data class Corrupt(val file: String, val offset: Int) : StorageError {
+        override fun toString(): String = "the file $file is corrupt at byte $offset; " +
+            "move the data folder away, start the host with an empty one " +
+            "and let it catch up from the other replicas"
+    }
+
+    /** A file that must be there is missing. */
+    data class Missing(val file: String) : StorageError {
+        override fun toString(): String =
+            "the file $file is missing; restore it or start the host with an empty data folder"
+    }
+
+    /** The folder cannot be read or written. */
+    data class Unusable(val cause: IOException) : StorageError {
+        override fun toString(): String = cause.message ?: cause.toString()
+    }
+}
+
+/** One write to the log file: everything that became durable together. */
+@Serializable
+private data class LogRecord(
+    val hardState: HardState? = null,
+    val entries: List<LogEntry> = emptyList(),
+    val snapshotIndex: LogIndex? = null
+)
+
+private const val FORMAT_NAME = "format"
+
+private const val FORMAT = "primroseflow-data 1"
+
+private const val LOG_PREFIX = "log-"
+
+private const val SNAPSHOT_PREFIX = "snapshot-"
+
+@OptIn(ExperimentalSerializationApi::class)
+private val storageCbor = Cbor {
+    alwaysUseByteString = true
+    ignoreUnknownKeys = true
+}
+
+/**
+ * Keeps the durable state of one replica in a data folder.
+ *
+ * The newest log file is the root of what is valid: its first record names the snapshot that it
+ * follows. A snapshot is written whole before the log file that names it, and older files are
+ * deleted after that, so a crash at any step leaves one valid pair. Not safe for several tasks.
+ */
+internal class ReplicaStorage private constructor(
+    private val folder: DataFolder,
+    /** What the folder held when it was opened. */
+    val restored: RestoredState,
+    hadHardState: Boolean,
+    private var sequence: Long,
+    private var log: GrowingFile
+) : AutoCloseable {
+    private var hardState = restored.hardState
+
+    /** Whether nothing was ever stored. */
+    val isNew: Boolean = restored.snapshot == null && restored.entries.isEmpty() && !hadHardState
+
+    /** Bytes appended to the log file since it was begun. */
+    var logBytes: Long = 0
+        private set
+
+    /**
+     * Makes [hardState] and [entries] durable.
+     *
+     * @throws IOException when that fails; nothing is stored then and the call may be repeated
+     */
+    fun append(hardState: HardState?, entries: List<LogEntry>) {
+        if (hardState == null && entries.isEmpty()) return
+        val frame = encodeRecord(LogRecord(hardState, entries))
+        log.append(frame)
+        logBytes += frame.size
+        hardState?.let { this.hardState = it }
+    }
+
+    /**
+     * Replaces everything stored by [snapshot] and the [entries] after it.
+     *
+     * @throws IOException when that fails; the former state stays valid then
+     */
+    fun replace(snapshot: Snapshot, hardState: HardState?, entries: List<LogEntry>) {
+        val kept = hardState ?: this.hardState
+        val snapshotBytes = storageCbor.encodeToByteArray(Snapshot.serializer(), snapshot)
+        folder.write(snapshotName(snapshot.head.index), encodeFrame(snapshotBytes))
+        val first = LogRecord(kept, entries, snapshot.head.index)
+        val frame = encodeRecord(first)
+        val name = logName(sequence + 1)
+        folder.write(name, frame)
+        val opened = folder.open(name, frame.size.toLong())
+        log.close()
+        log = opened
+        sequence++
+        logBytes = frame.size.toLong()
+        this.hardState = kept
+        deleteOthers(snapshot.head.index)
+    }
+
+    override fun close() {
+        log.close()
+        folder.close()
+    }
+
+    private fun deleteOthers(index: LogIndex) {
+        val kept = setOf(FORMAT_NAME, logName(sequence), snapshotName(index))
+        folder.names().filter { it !in kept && isOwn(it) }.forEach(folder::delete)
+    }
+
+    companion object {
+        /** Opens the state in [folder], an empty one when the folder is new. */
+        fun open(folder: DataFolder): Result<ReplicaStorage, StorageError> = try {
+            openChecked(folder)
+        } catch (e: IOException) {
+            Err(StorageError.Unusable(e))
+        }
+
+        private fun openChecked(folder: DataFolder): Result<ReplicaStorage, StorageError> {
+            val names = folder.names()
+            if (FORMAT_NAME !in names) return create(folder)
+            val format = folder.read(FORMAT_NAME).decodeToString()
+            if (format != FORMAT) return Err(StorageError.UnknownFormat(format))
+            val newest = names.filter { it.startsWith(LOG_PREFIX) }.maxOrNull()
+                ?: return create(folder)
+            return restore(folder, newest)
+        }
+
+        private fun create(folder: DataFolder): Result<ReplicaStorage, StorageError> {
+            val frame = encodeRecord(LogRecord())
+            folder.write(logName(1), frame)
+            folder.write(FORMAT_NAME, FORMAT.encodeToByteArray())
+            val log = folder.open(logName(1), frame.size.toLong())
+            return Ok(ReplicaStorage(folder, RestoredState(), false, sequence = 1, log))
+        }
+
+        private fun restore(
+            folder: DataFolder,
+            name: String
+        ): Result<ReplicaStorage, StorageError> {
+            val scan = scanFrames(folder.read(name))
+            if (scan is FrameScan.CorruptMiddle) return Err(StorageError.Corrupt(name, scan.offset))
+            val good = scan as FrameScan.Good
+            val records = good.contents.map { content ->
+                decodeOrNull(content) ?: return Err(StorageError.Corrupt(name, 0))
+            }
+            val first = records.firstOrNull() ?: return Err(StorageError.Corrupt(name, 0))
+            val snapshot = first.snapshotIndex?.let { index ->
+                readSnapshot(folder, index).getOrElse { return Err(it) }
+            }
+            val hardState = records.mapNotNull { it.hardState }.lastOrNull()
+            val restored = RestoredState(
+                hardState = hardState ?: HardState(),
+                snapshot = snapshot,
+                entries = replay(records)
+            )
+            val log = folder.open(name, good.end.toLong())
+            val sequence = name.removePrefix(LOG_PREFIX).toLong()
+            return Ok(ReplicaStorage(folder, restored, hardState != null, sequence, log))
+        }
+
+        private fun readSnapshot(
+            folder: DataFolder,
+            index: LogIndex
+        ): Result<Snapshot, StorageError> {
+            val name = snapshotName(index)
+            if (name !in folder.names()) return Err(StorageError.Missing(name))
+            val scan = scanFrames(folder.read(name))
+            val content = (scan as? FrameScan.Good)?.contents?.singleOrNull()
+                ?: return Err(StorageError.Corrupt(name, 0))
+            return Ok(storageCbor.decodeFromByteArray(Snapshot.serializer(), content))
+        }
+
+        private fun replay(records: List<LogRecord>): List<LogEntry> {
+            val entries = ArrayList<LogEntry>()
+            for (record in records) {
+                val first = record.entries.firstOrNull()?.index ?: continue
+                while (entries.isNotEmpty() &&
+                    entries.last().index >= first
+                ) {
+                    entries.removeAt(entries.lastIndex)
+                }
+                entries += record.entries
+            }
+            return entries
+        }
+
+        private fun decodeOrNull(content: ByteArray): LogRecord? = try {
+            storageCbor.decodeFromByteArray(LogRecord.serializer(), content)
+        } catch (_: SerializationException) {
+            null
+        }
+
+        private fun encodeRecord(record: LogRecord): ByteArray =
+            encodeFrame(storageCbor.encodeToByteArray(LogRecord.serializer(), record))
+
+        private fun logName(sequence: Long) = LOG_PREFIX + sequence.toString().padStart(16, '0')
+
+        private fun snapshotName(index: LogIndex) =
+            SNAPSHOT_PREFIX + index.toString().padStart(16, '0')
+
+        private fun isOwn(name: String) =
+            name.startsWith(LOG_PREFIX) || name.startsWith(SNAPSHOT_PREFIX)
+    }
+}
