--- a/core/src/main/kotlin/io/primroseflow/policy/PolicyDocuments.kt
+++ b/core/src/main/kotlin/io/primroseflow/policy/PolicyDocuments.kt
@@ -14,6 +14,7 @@
 import org.snakeyaml.engine.v2.nodes.ScalarNode
 import org.snakeyaml.engine.v2.nodes.SequenceNode
 import org.snakeyaml.engine.v2.nodes.Tag
+import org.snakeyaml.engine.v2.schema.CoreSchema
 
 /** The place in a policy file that a value comes from; [line] and [column] count from one. */
 public data class Origin(val file: String, val line: Int, val column: Int) {
@@ -72,7 +73,7 @@
 }
 
 private fun composeOrNull(source: PolicyText, problems: PolicyProblems): Node? = try {
-    val settings = LoadSettings.builder().setLabel(source.name).build()
+    val settings = LoadSettings.builder().setLabel(source.name).setSchema(CoreSchema()).build()
     Compose(settings).composeString(source.text).orElse(null)
 } catch (e: MarkedYamlEngineException) {
     val mark = e.problemMark.orElse(null)
--- a/daemon/src/main/kotlin/io/primroseflow/daemon/caller/CallerRequests.kt
+++ b/daemon/src/main/kotlin/io/primroseflow/daemon/caller/CallerRequests.kt
@@ -4,6 +4,7 @@
 import com.github.michaelbull.result.Ok
 import com.github.michaelbull.result.Result
 import com.github.michaelbull.result.getOrElse
+import io.ktor.http.BadContentTypeFormatException
 import io.ktor.http.HttpHeaders
 import io.ktor.server.application.ApplicationCall
 import io.ktor.server.request.contentType
@@ -215,7 +216,7 @@
 private fun hasJsonBody(call: ApplicationCall): Boolean = try {
     val type = call.request.contentType()
     type.contentType == "application" && type.contentSubtype == "json"
-} catch (_: IllegalArgumentException) {
+} catch (_: BadContentTypeFormatException) {
     false
 }
 
--- a/daemon/src/main/kotlin/io/primroseflow/daemon/caller/CompletionBodies.kt
+++ b/daemon/src/main/kotlin/io/primroseflow/daemon/caller/CompletionBodies.kt
@@ -71,6 +71,7 @@
     form: CompletionForm,
     bytes: ByteArray
 ): Result<CompletionBody, String> {
+    if (isTooDeep(bytes)) return Err("the body is nested too deeply")
     val fields = parseObjectOrNull(bytes) ?: return Err("the body must be a JSON object")
     val kind = textOrNull(fields["model"])
     val prompt = if (form == CompletionForm.Chat) chatPromptOrNull(fields) else promptOrNull(fields)
@@ -94,6 +95,21 @@
     )
 }
 
+/** Nesting depth beyond which a body is refused. */
+private const val MAX_DEPTH = 64
+
+/** Tells whether brackets are nested too deeply; those within texts count as well. */
+private fun isTooDeep(bytes: ByteArray): Boolean {
+    var depth = 0
+    for (byte in bytes) {
+        when (byte.toInt().toChar()) {
+            '[', '{' -> if (++depth > MAX_DEPTH) return true
+            ']', '}' -> depth--
+        }
+    }
+    return false
+}
+
 private fun parseObjectOrNull(bytes: ByteArray): JsonObject? = try {
     val text = bytes.decodeToString(throwOnInvalidSequence = true)
     Json.parseToJsonElement(text) as? JsonObject
--- /dev/null
+++ b/daemon/src/test/kotlin/io/primroseflow/daemon/FakeTarget.kt
@@ -0,0 +1,77 @@
+package io.primroseflow.daemon
+
+import io.ktor.http.ContentType
+import io.ktor.server.application.ApplicationCall
+import io.ktor.server.application.ApplicationCallPipeline
+import io.ktor.server.application.call
+import io.ktor.server.engine.EmbeddedServer
+import io.ktor.server.engine.connector
+import io.ktor.server.engine.embeddedServer
+import io.ktor.server.netty.Netty
+import io.ktor.server.request.path
+import io.ktor.server.request.receiveText
+import io.ktor.server.response.header
+import io.ktor.server.response.respondBytesWriter
+import io.ktor.server.response.respondText
+import io.ktor.utils.io.writeStringUtf8
+import java.util.concurrent.ConcurrentHashMap
+import kotlinx.coroutines.awaitCancellation
+
+/** A target that answers at once, or never while [isSilent]. Counts what it received. */
+internal class FakeTarget : AutoCloseable {
+    private var server: EmbeddedServer<*, *>? = null
+
+    /** Calls by the request id that they carried. */
+    val received = ConcurrentHashMap<String, Int>()
+
+    @Volatile
+    var isSilent = false
+
+    /** Starts the server and returns its port. */
+    suspend fun start(): Int {
+        val created = embeddedServer(
+            Netty,
+            configure = {
+                connector {
+                    host = "127.0.0.1"
+                    port = 0
+                }
+            },
+            module = {
+                intercept(ApplicationCallPipeline.Call) {
+                    answer(call)
+                    finish()
+                }
+            }
+        )
+        server = created
+        created.startSuspend(wait = false)
+        return created.engine.resolvedConnectors().single().port
+    }
+
+    override fun close() {
+        server?.stop(0, 0)
+    }
+
+    private suspend fun answer(call: ApplicationCall) {
+        val path = call.request.path()
+        val isPoll = path == "/load" || path == "/cache/events"
+        if (isPoll) return call.respondText("{}", ContentType.Application.Json)
+        val id = call.request.headers["X-Request-Id"].orEmpty()
+        call.receiveText()
+        received.merge(id, 1, Int::plus)
+        if (isSilent) awaitCancellation()
+        call.response.header("X-Request-Id", id)
+        if (path.startsWith("/v1/")) stream(call, id) else call.respondText("done for $id")
+    }
+
+    private suspend fun stream(call: ApplicationCall, id: String) {
+        call.respondBytesWriter(ContentType.Text.EventStream) {
+            for (word in listOf("one", "two")) {
+                val choice = """{"index":0,"delta":{"content":"$word "},"finish_reason":null}"""
+                writeStringUtf8("data: {\"id\":\"$id\",\"choices\":[$choice]}\n\n")
+            }
+            writeStringUtf8("data: [DONE]\n\n")
+        }
+    }
+}
--- /dev/null
+++ b/daemon/src/test/kotlin/io/primroseflow/daemon/storage/ReplicaStorageTest.kt
@@ -0,0 +1,196 @@
+package io.primroseflow.daemon.storage
+
+import com.github.michaelbull.result.getError
+import com.github.michaelbull.result.getOrElse
+import io.kotest.assertions.throwables.shouldThrow
+import io.kotest.core.spec.style.DescribeSpec
+import io.kotest.matchers.collections.shouldContainExactly
+import io.kotest.matchers.shouldBe
+import io.kotest.matchers.types.shouldBeInstanceOf
+import io.primroseflow.consensus.CommandBytes
+import io.primroseflow.consensus.EntryContent
+import io.primroseflow.consensus.HardState
+import io.primroseflow.consensus.LogEntry
+import io.primroseflow.consensus.LogIndex
+import io.primroseflow.consensus.Membership
+import io.primroseflow.consensus.RestoredState
+import io.primroseflow.consensus.Snapshot
+import io.primroseflow.consensus.SnapshotHead
+import io.primroseflow.consensus.Term
+import io.primroseflow.model.HostId
+import java.io.IOException
+import java.nio.file.Files
+import java.nio.file.Path
+import kotlin.io.path.readBytes
+import kotlin.io.path.writeBytes
+
+private fun entry(index: Long, term: Long = 1) =
+    LogEntry(LogIndex(index), Term(term), EntryContent.Command(CommandBytes(byteArrayOf(1, 2))))
+
+private fun snapshotAt(index: Long): Snapshot {
+    val head = SnapshotHead(LogIndex(index), Term(1), Membership(setOf(HostId("a"))))
+    return Snapshot(head, CommandBytes(ByteArray(100) { it.toByte() }))
+}
+
+private fun temporaryFolder(): Path = Files.createTempDirectory("primroseflow-storage")
+
+private fun <T> withStorage(path: Path, use: (ReplicaStorage) -> T): T {
+    val storage = ReplicaStorage.open(DiskFolder(path)).getOrElse { error("$it") }
+    return storage.use(use)
+}
+
+private fun restoredFrom(path: Path): RestoredState = withStorage(path) { it.restored }
+
+private fun logFile(path: Path): Path =
+    path.toFile().listFiles().orEmpty().single { it.name.startsWith("log-") }.toPath()
+
+/** A folder in memory whose every write can be made to fail. */
+private class FailingFolder(private val inner: DataFolder) : DataFolder by inner {
+    var failsAfter = Int.MAX_VALUE
+
+    override fun write(name: String, bytes: ByteArray) {
+        countDown()
+        inner.write(name, bytes)
+    }
+
+    override fun open(name: String, size: Long): GrowingFile {
+        val file = inner.open(name, size)
+        return object : GrowingFile by file {
+            override fun append(bytes: ByteArray) {
+                countDown()
+                file.append(bytes)
+            }
+        }
+    }
+
+    override fun delete(name: String) {
+        countDown()
+        inner.delete(name)
+    }
+
+    private fun countDown() {
+        if (failsAfter-- <= 0) throw IOException("No space left on device")
+    }
+}
+
+class ReplicaStorageTest :
+    DescribeSpec({
+        describe("a data folder") {
+            it("gives back what was stored") {
+                val path = temporaryFolder()
+                withStorage(path) {
+                    it.append(HardState(Term(3), HostId("b")), listOf(entry(1), entry(2)))
+                    it.append(null, listOf(entry(3)))
+                }
+                val restored = restoredFrom(path)
+                restored.hardState shouldBe HardState(Term(3), HostId("b"))
+                restored.entries shouldContainExactly listOf(entry(1), entry(2), entry(3))
+            }
+
+            it("replaces entries that were stored again from an earlier index on") {
+                val path = temporaryFolder()
+                withStorage(path) {
+                    it.append(null, listOf(entry(1), entry(2), entry(3)))
+                    it.append(null, listOf(entry(2, term = 2)))
+                }
+                restoredFrom(path).entries shouldContainExactly listOf(entry(1), entry(2, term = 2))
+            }
+
+            it("is refused to a second process") {
+                val path = temporaryFolder()
+                DiskFolder(path).use {
+                    shouldThrow<FolderLockedException> { DiskFolder(path) }
+                }
+            }
+
+            it("is refused when another version wrote it") {
+                val path = temporaryFolder()
+                withStorage(path) {}
+                path.resolve("format").writeBytes("primroseflow-data 99".encodeToByteArray())
+                ReplicaStorage.open(DiskFolder(path)).getError() shouldBe
+                    StorageError.UnknownFormat("primroseflow-data 99")
+            }
+
+            it("loses only the torn end of the last write, at every byte") {
+                val path = temporaryFolder()
+                withStorage(path) { it.append(HardState(Term(1)), listOf(entry(1))) }
+                val before = logFile(path).readBytes()
+                withStorage(path) { it.append(null, listOf(entry(2))) }
+                val after = logFile(path).readBytes()
+                for (size in before.size until after.size) {
+                    logFile(path).writeBytes(after.copyOf(size))
+                    restoredFrom(path).entries shouldContainExactly listOf(entry(1))
+                }
+            }
+
+            it("goes on after a torn end") {
+                val path = temporaryFolder()
+                withStorage(path) { it.append(HardState(Term(1)), listOf(entry(1), entry(2))) }
+                val whole = logFile(path).readBytes()
+                logFile(path).writeBytes(whole.copyOf(whole.size - 1))
+                withStorage(path) { it.append(HardState(Term(2)), listOf(entry(1))) }
+                restoredFrom(path).hardState.term shouldBe Term(2)
+            }
+
+            it("refuses a corrupt middle loudly, with its place") {
+                val path = temporaryFolder()
+                withStorage(path) {
+                    it.append(HardState(Term(1)), listOf(entry(1)))
+                    it.append(null, listOf(entry(2)))
+                    it.append(null, listOf(entry(3)))
+                }
+                val bytes = logFile(path).readBytes()
+                bytes[FRAME_HEADER_SIZE + 1] = (bytes[FRAME_HEADER_SIZE + 1] + 1).toByte()
+                logFile(path).writeBytes(bytes)
+                val error = ReplicaStorage.open(DiskFolder(path)).getError()
+                error.shouldBeInstanceOf<StorageError.Corrupt>().offset shouldBe 0
+            }
+        }
+
+        describe("a snapshot") {
+            it("replaces the entries before it") {
+                val path = temporaryFolder()
+                withStorage(path) {
+                    it.append(HardState(Term(1)), listOf(entry(1), entry(2), entry(3)))
+                    it.replace(snapshotAt(2), null, listOf(entry(3)))
+                    it.append(null, listOf(entry(4)))
+                }
+                val restored = restoredFrom(path)
+                restored.snapshot shouldBe snapshotAt(2)
+                restored.hardState shouldBe HardState(Term(1))
+                restored.entries shouldContainExactly listOf(entry(3), entry(4))
+            }
+
+            it("is there with its entries or not at all, whichever step fails") {
+                for (step in 0..6) {
+                    val path = temporaryFolder()
+                    val folder = FailingFolder(DiskFolder(path))
+                    val storage = ReplicaStorage.open(folder).getOrElse { error("$it") }
+                    storage.append(HardState(Term(1)), listOf(entry(1), entry(2), entry(3)))
+                    folder.failsAfter = step
+                    runCatching { storage.replace(snapshotAt(2), null, listOf(entry(3))) }
+                    folder.failsAfter = Int.MAX_VALUE
+                    storage.close()
+                    val restored = restoredFrom(path)
+                    val base = restored.snapshot?.head?.index ?: LogIndex.ZERO
+                    restored.entries.last() shouldBe entry(3)
+                    restored.entries.size shouldBe 3 - base.position.toInt()
+                }
+            }
+        }
+
+        describe("a full disk") {
+            it("fails the write and keeps what was stored before; a later write works") {
+                val path = temporaryFolder()
+                val folder = FailingFolder(DiskFolder(path))
+                val storage = ReplicaStorage.open(folder).getOrElse { error("$it") }
+                storage.append(HardState(Term(1)), listOf(entry(1)))
+                folder.failsAfter = 0
+                shouldThrow<IOException> { storage.append(null, listOf(entry(2))) }
+                folder.failsAfter = Int.MAX_VALUE
+                storage.append(null, listOf(entry(2)))
+                storage.close()
+                restoredFrom(path).entries shouldContainExactly listOf(entry(1), entry(2))
+            }
+        }
+    })
