Pair an engine with the same engine behind one host; fewer thread changes

Change: relay benchmark with callers that arrive one by one; chunks are read in the coroutine that wants them; exchanges run in the thread that has the bytes; sized thread pools; a thread for each selector.

--- a/bench/src/main/kotlin/io/primroseflow/bench/Main.kt
+++ b/bench/src/main/kotlin/io/primroseflow/bench/Main.kt
@@ -37,8 +37,13 @@
         description = "Milliseconds between two tokens at no load"
     ).default(20)
 
+    private val batch by option(
+        ArgType.Int,
+        description = "Running requests at which a token takes twice as long"
+    ).default(32)
+
     override fun execute() = runBlocking {
-        val profile = EngineProfile(tokenInterval = tokenMillis.milliseconds)
+        val profile = EngineProfile(tokenInterval = tokenMillis.milliseconds, batchSize = batch)
         ports(engines).forEach { ModelEngine(profile).start(it) }
         ports(looseEngines).forEach { ModelEngine(profile.copy(checksFencing = false)).start(it) }
         ports(services).forEach { PlainService().start(it) }
@@ -54,6 +59,6 @@
 @OptIn(ExperimentalCli::class)
 public fun main(arguments: Array<String>) {
     val parser = ArgParser("primroseflow-bench")
-    parser.subcommands(StandInsCommand())
+    parser.subcommands(StandInsCommand(), RelayCommand())
     parser.parse(arguments)
 }
--- a/daemon/src/main/kotlin/io/primroseflow/daemon/Main.kt
+++ b/daemon/src/main/kotlin/io/primroseflow/daemon/Main.kt
@@ -24,6 +24,7 @@
 
 /** Runs one host until SIGTERM or SIGINT. */
 public fun main(arguments: Array<String>) {
+    sizeThreadPools()
     val daemon = try {
         Daemon(readInputs(arguments))
     } catch (e: BadInput) {
--- a/daemon/src/main/kotlin/io/primroseflow/daemon/operator/StatusReports.kt
+++ b/daemon/src/main/kotlin/io/primroseflow/daemon/operator/StatusReports.kt
@@ -1,5 +1,6 @@
 package io.primroseflow.daemon.operator
 
+import com.sun.management.OperatingSystemMXBean
 import io.primroseflow.daemon.DaemonSettings
 import io.primroseflow.daemon.caller.CallerServer
 import io.primroseflow.daemon.control.ControlPlane
@@ -14,6 +15,7 @@
 import io.primroseflow.status.HostStatus
 import io.primroseflow.status.PoolStatus
 import io.primroseflow.status.PoolTargetStatus
+import java.lang.management.ManagementFactory
 import kotlin.time.Clock
 
 /** Puts the state of this host together for operators and metrics. */
@@ -114,4 +116,21 @@
     gauge("primroseflow_peer_redials", "Connections to other hosts that were opened anew") {
         report.peerRedials.toDouble()
     }
+    addProcessGauges()
+}
+
+private const val NANOS_PER_SECOND = 1e9
+
+/** Adds gauges of the process itself. */
+private fun DaemonMetrics.addProcessGauges() {
+    val system = ManagementFactory.getPlatformMXBean(OperatingSystemMXBean::class.java)
+    val memory = ManagementFactory.getMemoryMXBean()
+    val threads = ManagementFactory.getThreadMXBean()
+    gauge("primroseflow_process_cpu_seconds", "CPU time of the process") {
+        system.processCpuTime / NANOS_PER_SECOND
+    }
+    gauge("primroseflow_heap_used_bytes", "Heap in use, garbage included") {
+        memory.heapMemoryUsage.used.toDouble()
+    }
+    gauge("primroseflow_threads", "Threads of the process") { threads.threadCount.toDouble() }
 }
--- a/daemon/src/main/kotlin/io/primroseflow/daemon/peer/PeerLinks.kt
+++ b/daemon/src/main/kotlin/io/primroseflow/daemon/peer/PeerLinks.kt
@@ -1,6 +1,5 @@
 package io.primroseflow.daemon.peer
 
-import io.ktor.network.selector.SelectorManager
 import io.ktor.network.sockets.ServerSocket
 import io.ktor.network.sockets.Socket
 import io.ktor.network.sockets.aSocket
@@ -10,6 +9,7 @@
 import io.ktor.utils.io.ByteReadChannel
 import io.ktor.utils.io.ByteWriteChannel
 import io.primroseflow.daemon.PeerAddress
+import io.primroseflow.daemon.newSelector
 import io.primroseflow.model.HostId
 import io.primroseflow.timeline.HybridClock
 import java.io.IOException
@@ -21,7 +21,6 @@
 import kotlin.time.Duration.Companion.seconds
 import kotlin.time.Instant
 import kotlinx.coroutines.CoroutineScope
-import kotlinx.coroutines.Dispatchers
 import kotlinx.coroutines.cancelChildren
 import kotlinx.coroutines.channels.BufferOverflow
 import kotlinx.coroutines.channels.Channel
@@ -79,7 +78,7 @@
     private val handler: PeerHandler
 ) : AutoCloseable {
     private val log = LogManager.getLogger(PeerLinks::class.java)
-    private val selector = SelectorManager(Dispatchers.IO)
+    private val selector = newSelector("peers")
     private val links = ConcurrentHashMap<HostId, PeerLink>()
     private val heardAt = ConcurrentHashMap<HostId, Instant>()
     private var server: ServerSocket? = null
--- a/daemon/src/main/kotlin/io/primroseflow/daemon/request/RequestTasks.kt
+++ b/daemon/src/main/kotlin/io/primroseflow/daemon/request/RequestTasks.kt
@@ -18,6 +18,7 @@
 import io.primroseflow.scheduling.Demand
 import kotlin.time.Duration
 import kotlinx.coroutines.Deferred
+import kotlinx.coroutines.Dispatchers
 import kotlinx.coroutines.async
 import kotlinx.coroutines.cancelAndJoin
 import kotlinx.coroutines.channels.Channel
@@ -200,7 +201,10 @@
 
     /** Runs the exchange with [target] and returns the event that ends it. */
     private suspend fun runExchange(target: TargetId): RequestEvent = coroutineScope {
-        val running = async { services.targets.exchange(target, request, Observer()) }
+        // The exchange only parses and passes on, so it runs in whichever thread has the bytes.
+        val running = async(Dispatchers.Unconfined) {
+            services.targets.exchange(target, request, Observer())
+        }
         val cause = awaitGiveUpOrNull(running)
         if (cause == null) {
             eventFor(running.await())
