--- a/daemon/src/main/kotlin/io/primroseflow/daemon/caller/CallerServers.kt
+++ b/daemon/src/main/kotlin/io/primroseflow/daemon/caller/CallerServers.kt
@@ -54,6 +54,9 @@
 
 private const val READY_PATH = "/readyz"
 
+/** Threads that serve caller connections. */
+private const val CALLER_THREADS = 2
+
 private const val MAX_CHUNK_SIZE = 8 * 1024
 
 /** Serves callers over HTTP. */
@@ -82,6 +85,9 @@
                     host = address.host
                     port = address.port
                 }
+                shareWorkGroup = true
+                workerGroupSize = CALLER_THREADS
+                connectionGroupSize = 1
                 val headerBytes = policy().limits.headerBytes
                 httpServerCodec = { HttpServerCodec(headerBytes, headerBytes, MAX_CHUNK_SIZE) }
                 channelPipelineConfig = {
--- a/daemon/src/main/kotlin/io/primroseflow/daemon/request/AnswerBuffers.kt
+++ b/daemon/src/main/kotlin/io/primroseflow/daemon/request/AnswerBuffers.kt
@@ -38,14 +38,27 @@
 /** The pieces of an answer after a given one, and the [outcome] once there is one. */
 internal class AnswerSlice(val parts: List<AnswerPart>, val outcome: Outcome?)
 
+/** Bytes for which a new answer has room. */
+private const val INITIAL_SIZE = 1024
+
+/** Pieces for which a new answer has room. */
+private const val INITIAL_PIECES = 32
+
 /**
  * Holds the answer of one request while it grows and lets any number of readers follow it.
  *
+ * The pieces lie in one array, so that kept answers cost the garbage collector a handful of
+ * objects each and not one for every token.
+ *
  * @param limit bytes beyond which pieces are not taken any more
  */
 internal class AnswerBuffer(private val limit: Int) {
-    private val parts = ArrayList<AnswerPart>()
     private val signals = ArrayList<Channel<Unit>>()
+    private var head: AnswerPart.Head? = null
+    private var isEvents = false
+    private var bytes = ByteArray(INITIAL_SIZE)
+    private var ends = IntArray(INITIAL_PIECES)
+    private var pieces = 0
     private var outcome: Outcome? = null
 
     /** Bytes held. */
@@ -61,8 +74,16 @@
     @Synchronized
     fun append(part: AnswerPart): Boolean {
         if (size + part.size > limit) return false
-        parts += part
-        size += part.size
+        when (part) {
+            is AnswerPart.Head -> head = part
+
+            is AnswerPart.Event -> {
+                isEvents = true
+                appendPiece(part.data)
+            }
+
+            is AnswerPart.Body -> appendPiece(part.bytes)
+        }
         signalAll()
         return true
     }
@@ -72,24 +93,25 @@
     fun finish(outcome: Outcome) {
         check(this.outcome == null) { "the answer has ended already" }
         this.outcome = outcome
+        bytes = bytes.copyOf(size)
+        ends = ends.copyOf(pieces)
         signalAll()
     }
 
-    /** Drops the pieces of an answer that nobody may fetch any more. */
-    @Synchronized
-    fun discardParts() {
-        parts.clear()
-        size = 0
-    }
-
     /** Returns the outcome, `null` while the request is in progress. */
     @Synchronized
     fun outcomeOrNull(): Outcome? = outcome
 
-    /** Returns what is there after the first [count] pieces. */
+    /** Returns what is there after the first [count] parts. */
     @Synchronized
-    fun after(count: Int): AnswerSlice =
-        AnswerSlice(parts.subList(minOf(count, parts.size), parts.size).toList(), outcome)
+    fun after(count: Int): AnswerSlice {
+        val first = head
+        val parts = ArrayList<AnswerPart>()
+        if (first != null && count == 0) parts += first
+        val skipped = if (first == null) count else (count - 1).coerceAtLeast(0)
+        for (i in skipped until pieces) parts += pieceAt(i)
+        return AnswerSlice(parts, outcome)
+    }
 
     /** Adds a reader; the returned reader must be closed. */
     @Synchronized
@@ -104,6 +126,21 @@
         signals -= signal
     }
 
+    private fun appendPiece(data: ByteArray) {
+        val end = size + data.size
+        if (end > bytes.size) bytes = bytes.copyOf(maxOf(2 * bytes.size, end))
+        if (pieces == ends.size) ends = ends.copyOf(2 * ends.size)
+        data.copyInto(bytes, size)
+        ends[pieces++] = end
+        size = end
+    }
+
+    private fun pieceAt(i: Int): AnswerPart {
+        val start = if (i == 0) 0 else ends[i - 1]
+        val data = bytes.copyOfRange(start, ends[i])
+        return if (isEvents) AnswerPart.Event(data) else AnswerPart.Body(data)
+    }
+
     private fun signalAll() {
         signals.forEach { it.trySend(Unit) }
     }
