--- a/core/src/test/kotlin/io/primroseflow/scheduling/PoolSchedulerTest.kt
+++ b/core/src/test/kotlin/io/primroseflow/scheduling/PoolSchedulerTest.kt
@@ -21,203 +21,215 @@
 
 private fun List<Decision>.cancels() = filterIsInstance<Decision.Cancel>()
 
-class PoolSchedulerTest : DescribeSpec({
-    describe("a slot") {
-        it("is granted at once while there is one, and to the next in line when it is freed") {
-            val fixture = SchedulerFixture()
-            val first = fixture.demand()
-            val second = fixture.demand()
-            fixture.scheduler.submit(first, start).grants().single().ticket shouldBe first.ticket
-            fixture.scheduler.submit(second, start).shouldBeEmpty()
-            val freed = fixture.scheduler.finish(first.ticket, Tokens(5), true, start + 1.seconds)
-            freed.grants().single().ticket shouldBe second.ticket
-        }
+class PoolSchedulerTest :
+    DescribeSpec({
+        describe("a slot") {
+            it("is granted at once while there is one, and to the next in line when it is freed") {
+                val fixture = SchedulerFixture()
+                val first = fixture.demand()
+                val second = fixture.demand()
+                fixture.scheduler.submit(first, start).grants().single().ticket shouldBe
+                    first.ticket
+                fixture.scheduler.submit(second, start).shouldBeEmpty()
+                val freed = fixture.scheduler.finish(
+                    first.ticket,
+                    Tokens(5),
+                    true,
+                    start + 1.seconds
+                )
+                freed.grants().single().ticket shouldBe second.ticket
+            }
 
-        it("is not granted at a leaving target") {
-            val fixture = SchedulerFixture()
-            fixture.scheduler.updateHealth(TargetId("t1"), TargetHealth.Leaving, start)
-            fixture.scheduler.submit(fixture.demand(), start).shouldBeEmpty()
-        }
+            it("is not granted at a leaving target") {
+                val fixture = SchedulerFixture()
+                fixture.scheduler.updateHealth(TargetId("t1"), TargetHealth.Leaving, start)
+                fixture.scheduler.submit(fixture.demand(), start).shouldBeEmpty()
+            }
 
-        it("is granted elsewhere only while no target of the data centre is live") {
-            val fixture = SchedulerFixture(remoteTargets = 1)
-            val local = fixture.scheduler.submit(fixture.demand(), start).grants().single()
-            local.target shouldBe TargetId("t1")
-            fixture.scheduler.submit(fixture.demand(), start).shouldBeEmpty()
-            val remote =
-                fixture.scheduler.updateHealth(TargetId("t1"), TargetHealth.Unreachable, start)
-            remote.grants().single().target shouldBe TargetId("far1")
-        }
+            it("is granted elsewhere only while no target of the data centre is live") {
+                val fixture = SchedulerFixture(remoteTargets = 1)
+                val local = fixture.scheduler.submit(fixture.demand(), start).grants().single()
+                local.target shouldBe TargetId("t1")
+                fixture.scheduler.submit(fixture.demand(), start).shouldBeEmpty()
+                val remote =
+                    fixture.scheduler.updateHealth(TargetId("t1"), TargetHealth.Unreachable, start)
+                remote.grants().single().target shouldBe TargetId("far1")
+            }
 
-        it("is given back when the target cannot be reached, which gets nothing for a while") {
-            val fixture = SchedulerFixture(targets = 2)
-            val demand = fixture.demand()
-            val first = fixture.scheduler.submit(demand, start).grants().single().target
-            val again = fixture.scheduler.returnSlot(demand.ticket, start).grants().single()
-            (again.target == first) shouldBe false
+            it("is given back when the target cannot be reached, which gets nothing for a while") {
+                val fixture = SchedulerFixture(targets = 2)
+                val demand = fixture.demand()
+                val first = fixture.scheduler.submit(demand, start).grants().single().target
+                val again = fixture.scheduler.returnSlot(demand.ticket, start).grants().single()
+                (again.target == first) shouldBe false
+            }
         }
-    }
 
-    describe("the order of tiers") {
-        it("serves higher ranks first, whatever came first") {
-            val fixture = SchedulerFixture()
-            val running = fixture.demand()
-            fixture.scheduler.submit(running, start)
-            val low = fixture.demand(rank = 3)
-            val high = fixture.demand(rank = 1)
-            fixture.scheduler.submit(low, start)
-            fixture.scheduler.submit(high, start)
-            val next = fixture.scheduler.finish(running.ticket, Tokens(1), true, start)
-            next.grants().single().ticket shouldBe high.ticket
-        }
+        describe("the order of tiers") {
+            it("serves higher ranks first, whatever came first") {
+                val fixture = SchedulerFixture()
+                val running = fixture.demand()
+                fixture.scheduler.submit(running, start)
+                val low = fixture.demand(rank = 3)
+                val high = fixture.demand(rank = 1)
+                fixture.scheduler.submit(low, start)
+                fixture.scheduler.submit(high, start)
+                val next = fixture.scheduler.finish(running.ticket, Tokens(1), true, start)
+                next.grants().single().ticket shouldBe high.ticket
+            }
 
-        it("drops waiting lower work before it refuses higher work") {
-            val fixture = SchedulerFixture(queueLimit = 2)
-            fixture.scheduler.submit(fixture.demand(), start)
-            val low = fixture.demand(rank = 3)
-            val middle = fixture.demand(rank = 2)
-            fixture.scheduler.submit(low, start)
-            fixture.scheduler.submit(middle, start)
-            val dropped = fixture.scheduler.submit(fixture.demand(rank = 1), start).refusals()
-            dropped.single().ticket shouldBe low.ticket
-            dropped.single().refusal shouldBe Refusal.Displaced
-        }
+            it("drops waiting lower work before it refuses higher work") {
+                val fixture = SchedulerFixture(queueLimit = 2)
+                fixture.scheduler.submit(fixture.demand(), start)
+                val low = fixture.demand(rank = 3)
+                val middle = fixture.demand(rank = 2)
+                fixture.scheduler.submit(low, start)
+                fixture.scheduler.submit(middle, start)
+                val dropped = fixture.scheduler.submit(fixture.demand(rank = 1), start).refusals()
+                dropped.single().ticket shouldBe low.ticket
+                dropped.single().refusal shouldBe Refusal.Displaced
+            }
 
-        it("cancels running lower work before it refuses higher work, and admits none after") {
-            val fixture = SchedulerFixture(slots = 2, queueLimit = 1)
-            val low = fixture.demand(rank = 3)
-            fixture.scheduler.submit(low, start)
-            fixture.scheduler.submit(fixture.demand(rank = 1), start)
-            fixture.scheduler.submit(fixture.demand(rank = 1), start)
-            val decisions = fixture.scheduler.submit(fixture.demand(rank = 1), start)
-            decisions.cancels().single().ticket shouldBe low.ticket
-            val cancelAt = decisions.indexOfFirst { it is Decision.Cancel }
-            val refuseAt = decisions.indexOfFirst { it is Decision.Refuse }
-            (cancelAt < refuseAt) shouldBe true
-            val late = fixture.scheduler.submit(fixture.demand(rank = 3), start + 1.milliseconds)
-            late.refusals().single().refusal shouldBe Refusal.Displaced
-        }
+            it("cancels running lower work before it refuses higher work, and admits none after") {
+                val fixture = SchedulerFixture(slots = 2, queueLimit = 1)
+                val low = fixture.demand(rank = 3)
+                fixture.scheduler.submit(low, start)
+                fixture.scheduler.submit(fixture.demand(rank = 1), start)
+                fixture.scheduler.submit(fixture.demand(rank = 1), start)
+                val decisions = fixture.scheduler.submit(fixture.demand(rank = 1), start)
+                decisions.cancels().single().ticket shouldBe low.ticket
+                val cancelAt = decisions.indexOfFirst { it is Decision.Cancel }
+                val refuseAt = decisions.indexOfFirst { it is Decision.Refuse }
+                (cancelAt < refuseAt) shouldBe true
+                val late = fixture.scheduler.submit(
+                    fixture.demand(rank = 3),
+                    start + 1.milliseconds
+                )
+                late.refusals().single().refusal shouldBe Refusal.Displaced
+            }
 
-        it("does not cancel lower work that may not be repeated") {
-            val fixture = SchedulerFixture(queueLimit = 1)
-            fixture.scheduler.submit(fixture.demand(rank = 3, isCancellable = false), start)
-            fixture.scheduler.submit(fixture.demand(rank = 1), start)
-            fixture.scheduler.submit(fixture.demand(rank = 1), start).cancels().shouldBeEmpty()
-        }
+            it("does not cancel lower work that may not be repeated") {
+                val fixture = SchedulerFixture(queueLimit = 1)
+                fixture.scheduler.submit(fixture.demand(rank = 3, isCancellable = false), start)
+                fixture.scheduler.submit(fixture.demand(rank = 1), start)
+                fixture.scheduler.submit(fixture.demand(rank = 1), start).cancels().shouldBeEmpty()
+            }
 
-        it("holds over random load: nothing higher is shed while lower work waits or runs") {
-            val random = Random(11)
-            repeat(200) { round -> checkOrderOfShedding(SchedulerFixture(2, 2, 6), random, round) }
+            it("holds over random load: nothing higher is shed while lower work waits or runs") {
+                val random = Random(11)
+                repeat(200) { round ->
+                    checkOrderOfShedding(SchedulerFixture(2, 2, 6), random, round)
+                }
+            }
         }
-    }
 
-    describe("a deadline") {
-        it("refuses work at once that cannot be in time, with a time to come back") {
-            val fixture = SchedulerFixture()
-            fixture.warmUp()
-            val refused = fixture.scheduler.submit(
-                fixture.demand(output = 1_000, deadline = 6.seconds),
-                start + 5.seconds
-            )
-            refused.refusals().single().refusal shouldBe Refusal.DeadlineUnreachable
-        }
+        describe("a deadline") {
+            it("refuses work at once that cannot be in time, with a time to come back") {
+                val fixture = SchedulerFixture()
+                fixture.warmUp()
+                val refused = fixture.scheduler.submit(
+                    fixture.demand(output = 1_000, deadline = 6.seconds),
+                    start + 5.seconds
+                )
+                refused.refusals().single().refusal shouldBe Refusal.DeadlineUnreachable
+            }
 
-        it("refuses waiting work when it has passed") {
-            val fixture = SchedulerFixture()
-            fixture.scheduler.submit(fixture.demand(), start)
-            val waiting = fixture.demand(deadline = 2.seconds)
-            fixture.scheduler.submit(waiting, start)
-            fixture.scheduler.tick(start + 1.seconds).shouldBeEmpty()
-            val expired = fixture.scheduler.tick(start + 2.seconds).refusals().single()
-            expired.refusal shouldBe Refusal.DeadlineExpired
+            it("refuses waiting work when it has passed") {
+                val fixture = SchedulerFixture()
+                fixture.scheduler.submit(fixture.demand(), start)
+                val waiting = fixture.demand(deadline = 2.seconds)
+                fixture.scheduler.submit(waiting, start)
+                fixture.scheduler.tick(start + 1.seconds).shouldBeEmpty()
+                val expired = fixture.scheduler.tick(start + 2.seconds).refusals().single()
+                expired.refusal shouldBe Refusal.DeadlineExpired
+            }
         }
-    }
 
-    describe("teams of one tier") {
-        it("are served by their shares while both have work") {
-            val fixture = SchedulerFixture(shares = mapOf("one" to 75, "two" to 25))
-            val served = serveInTurn(fixture, rounds = 400) {
-                listOf(fixture.demand("one"), fixture.demand("two"))
+        describe("teams of one tier") {
+            it("are served by their shares while both have work") {
+                val fixture = SchedulerFixture(shares = mapOf("one" to 75, "two" to 25))
+                val served = serveInTurn(fixture, rounds = 400) {
+                    listOf(fixture.demand("one"), fixture.demand("two"))
+                }
+                val part = served.count { it == TeamId("one") }.toDouble() / served.size
+                part.shouldBeBetween(0.73, 0.77, 0.0)
             }
-            val part = served.count { it == TeamId("one") }.toDouble() / served.size
-            part.shouldBeBetween(0.73, 0.77, 0.0)
-        }
 
-        it("get no credit for the time in which they had nothing to do") {
-            val fixture = SchedulerFixture(shares = mapOf("one" to 50, "two" to 50))
-            val both = { listOf(fixture.demand("one"), fixture.demand("two")) }
-            serveInTurn(fixture, rounds = 20, demands = both)
-            serveInTurn(fixture, rounds = 200) { listOf(fixture.demand("one")) }
-            val served = serveInTurn(fixture, rounds = 100, demands = both)
-            val part = served.count { it == TeamId("two") }.toDouble() / served.size
-            part.shouldBeBetween(0.45, 0.6, 0.0)
-        }
+            it("get no credit for the time in which they had nothing to do") {
+                val fixture = SchedulerFixture(shares = mapOf("one" to 50, "two" to 50))
+                val both = { listOf(fixture.demand("one"), fixture.demand("two")) }
+                serveInTurn(fixture, rounds = 20, demands = both)
+                serveInTurn(fixture, rounds = 200) { listOf(fixture.demand("one")) }
+                val served = serveInTurn(fixture, rounds = 100, demands = both)
+                val part = served.count { it == TeamId("two") }.toDouble() / served.size
+                part.shouldBeBetween(0.45, 0.6, 0.0)
+            }
 
-        it("are charged with what their answers took, not with the estimate") {
-            val fixture = SchedulerFixture(shares = mapOf("long" to 50, "short" to 50))
-            val served = serveInTurn(fixture, rounds = 600, lengthOf = ::lengthOf) {
-                listOf(fixture.demand("long"), fixture.demand("short"))
+            it("are charged with what their answers took, not with the estimate") {
+                val fixture = SchedulerFixture(shares = mapOf("long" to 50, "short" to 50))
+                val served = serveInTurn(fixture, rounds = 600, lengthOf = ::lengthOf) {
+                    listOf(fixture.demand("long"), fixture.demand("short"))
+                }
+                val long = served.count { it == TeamId("long") }
+                val short = served.count { it == TeamId("short") }
+                (short.toDouble() / long).shouldBeBetween(7.0, 13.0, 0.0)
             }
-            val long = served.count { it == TeamId("long") }
-            val short = served.count { it == TeamId("short") }
-            (short.toDouble() / long).shouldBeBetween(7.0, 13.0, 0.0)
-        }
 
-        it("do not starve one kind of work by another") {
-            val fixture = SchedulerFixture(queueLimit = 1_000)
-            val first = fixture.demand()
-            fixture.scheduler.submit(first, start)
-            repeat(200) { fixture.scheduler.submit(fixture.demand(kind = "flood"), start) }
-            val other = fixture.demand(kind = "other")
-            fixture.scheduler.submit(other, start)
-            val position = drain(fixture, first.ticket).indexOf(other.ticket)
-            (position <= 2) shouldBe true
+            it("do not starve one kind of work by another") {
+                val fixture = SchedulerFixture(queueLimit = 1_000)
+                val first = fixture.demand()
+                fixture.scheduler.submit(first, start)
+                repeat(200) { fixture.scheduler.submit(fixture.demand(kind = "flood"), start) }
+                val other = fixture.demand(kind = "other")
+                fixture.scheduler.submit(other, start)
+                val position = drain(fixture, first.ticket).indexOf(other.ticket)
+                (position <= 2) shouldBe true
+            }
         }
-    }
 
-    describe("placement") {
-        it("prefers the target that has the prefix of the prompt") {
-            val fixture = SchedulerFixture(targets = 3, slots = 4)
-            fixture.warmUp()
-            fixture.scheduler.updatePrefix(TargetId("t3"), digest = 9, isPresent = true)
-            val demand = fixture.demand(prompt = 5_000, prefix = 9)
-            val grant = fixture.scheduler.submit(demand, start + 9.seconds).grants().single()
-            grant.target shouldBe TargetId("t3")
-        }
+        describe("placement") {
+            it("prefers the target that has the prefix of the prompt") {
+                val fixture = SchedulerFixture(targets = 3, slots = 4)
+                fixture.warmUp()
+                fixture.scheduler.updatePrefix(TargetId("t3"), digest = 9, isPresent = true)
+                val demand = fixture.demand(prompt = 5_000, prefix = 9)
+                val grant = fixture.scheduler.submit(demand, start + 9.seconds).grants().single()
+                grant.target shouldBe TargetId("t3")
+            }
 
-        it("spreads work that arrives together") {
-            val fixture = SchedulerFixture(targets = 4, slots = 4)
-            val targets = (1..8).map {
-                fixture.scheduler.submit(fixture.demand(), start).grants().single().target
+            it("spreads work that arrives together") {
+                val fixture = SchedulerFixture(targets = 4, slots = 4)
+                val targets = (1..8).map {
+                    fixture.scheduler.submit(fixture.demand(), start).grants().single().target
+                }
+                targets.groupingBy { it }.eachCount().values.toList() shouldContainExactly
+                    listOf(2, 2, 2, 2)
             }
-            targets.groupingBy { it }.eachCount().values.toList() shouldContainExactly
-                listOf(2, 2, 2, 2)
-        }
 
-        it("keeps work from a straggler until a probe shows that it has recovered") {
-            val fixture = SchedulerFixture(targets = 3, slots = 2)
-            fixture.warmUp()
-            val now = start + 10.seconds
-            repeat(8) { slowAnswer(fixture, now + (it * 20).seconds) }
-            val straggler = fixture.scheduler.status().targets.single { it.isStraggler }
-            val later = now + 161.seconds
-            val targets = (1..4).flatMap {
-                fixture.scheduler.submit(fixture.demand(deadline = 900.seconds), later).grants()
+            it("keeps work from a straggler until a probe shows that it has recovered") {
+                val fixture = SchedulerFixture(targets = 3, slots = 2)
+                fixture.warmUp()
+                val now = start + 10.seconds
+                repeat(8) { slowAnswer(fixture, now + (it * 20).seconds) }
+                val straggler = fixture.scheduler.status().targets.single { it.isStraggler }
+                val later = now + 161.seconds
+                val targets = (1..4).flatMap {
+                    fixture.scheduler.submit(fixture.demand(deadline = 900.seconds), later).grants()
+                }
+                targets.none { it.target == straggler.target } shouldBe true
             }
-            targets.none { it.target == straggler.target } shouldBe true
         }
-    }
 
-    describe("a request") {
-        it("is taken once") {
-            val fixture = SchedulerFixture()
-            val demand = fixture.demand()
-            fixture.scheduler.submit(demand, start)
-            runCatching { fixture.scheduler.submit(demand, start) }.exceptionOrNull()
-                .shouldBeInstanceOf<IllegalArgumentException>()
+        describe("a request") {
+            it("is taken once") {
+                val fixture = SchedulerFixture()
+                val demand = fixture.demand()
+                fixture.scheduler.submit(demand, start)
+                runCatching { fixture.scheduler.submit(demand, start) }.exceptionOrNull()
+                    .shouldBeInstanceOf<IllegalArgumentException>()
+            }
         }
-    }
-})
+    })
 
 private fun lengthOf(team: TeamId): Long = if (team == TeamId("long")) 1_000 else 100
 
@@ -243,7 +255,8 @@
     }
     while (running.isNotEmpty()) {
         val done = running.removeFirst()
-        running += fixture.scheduler.finish(done, Tokens(1), isWhole = false, start).grantedTickets()
+        running +=
+            fixture.scheduler.finish(done, Tokens(1), isWhole = false, start).grantedTickets()
     }
     return served
 }
