--- a/core/src/main/kotlin/io/primroseflow/scheduling/PoolScheduler.kt
+++ b/core/src/main/kotlin/io/primroseflow/scheduling/PoolScheduler.kt
@@ -207,8 +207,8 @@
         return decisions + grantAll(now)
     }
 
-    /** Returns whether any target of the pool may take new work. */
-    public fun hasUsableTarget(): Boolean = targets.all.any { it.health == TargetHealth.Live }
+    /** Whether nothing waits or runs. */
+    public val isIdle: Boolean get() = waiting.size == 0 && running.isEmpty()
 
     /** Returns the gauges of this scheduler. */
     public fun status(): SchedulerStatus = SchedulerStatus(
--- a/daemon/src/main/kotlin/io/primroseflow/daemon/control/ReplicaTask.kt
+++ b/daemon/src/main/kotlin/io/primroseflow/daemon/control/ReplicaTask.kt
@@ -47,7 +47,7 @@
 }
 
 /** Time between two ticks of a replica. */
-private val TICK: Duration = 20.milliseconds
+private val TICK: Duration = 50.milliseconds
 
 /** Time between two tries to write to a disk that failed. */
 private val DISK_RETRY: Duration = 500.milliseconds
--- a/daemon/src/main/kotlin/io/primroseflow/daemon/peer/PeerLinks.kt
+++ b/daemon/src/main/kotlin/io/primroseflow/daemon/peer/PeerLinks.kt
@@ -39,10 +39,10 @@
 
 private val CONNECT_TIMEOUT: Duration = 1.seconds
 
-/** Time without a message after which a link is tested. */
+/** Least time between two tests of a connection that carries messages. */
 private val PING_INTERVAL: Duration = 500.milliseconds
 
-/** Time without any frame after which a connection counts as lost and is dialled again. */
+/** Time without an answer to a test after which a connection is lost and dialled again. */
 private val SILENCE_LIMIT: Duration = 1_500.milliseconds
 
 private val REDIAL_PAUSE: Duration = 200.milliseconds
@@ -80,7 +80,6 @@
     private val log = LogManager.getLogger(PeerLinks::class.java)
     private val selector = newSelector("peers")
     private val links = ConcurrentHashMap<HostId, PeerLink>()
-    private val heardAt = ConcurrentHashMap<HostId, Instant>()
     private var server: ServerSocket? = null
 
     @Volatile
@@ -116,9 +115,6 @@
         links.computeIfAbsent(to) { startLink(it) }.offer(message)
     }
 
-    /** Returns the time at which a frame of [host] last arrived, or `null`. */
-    fun heardAtOrNull(host: HostId): Instant? = heardAt[host]
-
     override fun close() {
         server?.close()
         selector.close()
@@ -164,36 +160,54 @@
         val output = socket.openWriteChannel()
         val input = socket.openReadChannel()
         write(output, PeerFrame.Hello(PROTOCOL_VERSION, self, to, hybridClock.next()))
+        val pongs = Channel<Long>(Channel.CONFLATED)
         val reader = launch {
             while (true) {
-                readFrameInTime(input)
-                heardAt[to] = clock.now()
+                val pong = input.readFrame() as? PeerFrame.Pong
+                pong?.let { pongs.send(it.number) }
             }
         }
-        writeMessages(output, link)
+        writeMessages(output, link, pongs)
         reader.cancel()
         coroutineContext.cancelChildren()
     }
 
-    /** Writes messages and heartbeats until the link has been idle for long. */
-    private suspend fun writeMessages(output: ByteWriteChannel, link: PeerLink) {
-        var pings = 0L
-        var idleSince = clock.now()
-        while (clock.now() - idleSince < IDLE_LIMIT) {
-            val messages = withTimeoutOrNull(PING_INTERVAL) { link.takeBatch() }
-            if (messages == null) {
-                write(output, PeerFrame.Ping(++pings))
-                continue
+    /**
+     * Writes messages until the link has been idle for long. A message is followed by a test of
+     * the connection, so that a link costs nothing while there is nothing to say.
+     */
+    private suspend fun writeMessages(
+        output: ByteWriteChannel,
+        link: PeerLink,
+        pongs: Channel<Long>
+    ) {
+        var ping = 0L
+        var pingedAt = Instant.DISTANT_PAST
+        var isAnswered = true
+        while (true) {
+            val wait = if (isAnswered) IDLE_LIMIT else PING_INTERVAL
+            val messages = withTimeoutOrNull(wait) { link.takeBatch() }
+            if (messages == null && isAnswered) return
+            if (messages != null) writeBatch(output, messages)
+            if (!isAnswered) isAnswered = pongs.tryReceive().getOrNull() == ping
+            val now = clock.now()
+            if (!isAnswered && now - pingedAt > SILENCE_LIMIT) throw IOException("no answer")
+            if (isAnswered && messages != null && now - pingedAt >= PING_INTERVAL) {
+                write(output, PeerFrame.Ping(++ping))
+                pingedAt = now
+                isAnswered = false
             }
-            idleSince = clock.now()
-            traffic.sentMessages.addAndGet(messages.size.toLong())
-            write(output, PeerFrame.Batch(hybridClock.next(), messages))
         }
     }
 
-    private suspend fun readFrameInTime(input: ByteReadChannel): PeerFrame =
-        withTimeoutOrNull(SILENCE_LIMIT) { input.readFrame() }
-            ?: throw IOException("no frame for $SILENCE_LIMIT")
+    private suspend fun writeBatch(output: ByteWriteChannel, messages: List<PeerMessage>) {
+        traffic.sentMessages.addAndGet(messages.size.toLong())
+        write(output, PeerFrame.Batch(hybridClock.next(), messages))
+    }
+
+    private suspend fun readFrameInTime(input: ByteReadChannel, limit: Duration): PeerFrame =
+        withTimeoutOrNull(limit) { input.readFrame() }
+            ?: throw IOException("no frame for $limit")
 
     private suspend fun write(output: ByteWriteChannel, frame: PeerFrame) {
         traffic.sentBytes.addAndGet(output.writeFrame(frame).toLong())
@@ -212,22 +226,17 @@
     }
 
     private suspend fun serveConnection(input: ByteReadChannel, output: ByteWriteChannel) {
-        val hello = readFrameInTime(input) as? PeerFrame.Hello
+        val hello = readFrameInTime(input, SILENCE_LIMIT) as? PeerFrame.Hello
             ?: throw PeerProtocolException("the first frame is not a greeting")
         if (hello.version != PROTOCOL_VERSION) {
             throw PeerProtocolException("${hello.from} has protocol version ${hello.version}")
         }
         if (hello.to != self) throw PeerProtocolException("${hello.from} wants ${hello.to}")
         hybridClock.observe(hello.at)
-        var answeredAt = clock.now()
         while (true) {
-            val frame = readFrameInTime(input)
-            heardAt[hello.from] = clock.now()
+            val frame = readFrameInTime(input, IDLE_LIMIT + SILENCE_LIMIT)
             receive(hello.from, frame)
-            val isAnswerDue = frame is PeerFrame.Ping || clock.now() - answeredAt >= PING_INTERVAL
-            if (!isAnswerDue) continue
-            answeredAt = clock.now()
-            write(output, PeerFrame.Pong((frame as? PeerFrame.Ping)?.number ?: 0))
+            if (frame is PeerFrame.Ping) write(output, PeerFrame.Pong(frame.number))
         }
     }
 
--- a/daemon/src/main/kotlin/io/primroseflow/daemon/platform/PlatformWatches.kt
+++ b/daemon/src/main/kotlin/io/primroseflow/daemon/platform/PlatformWatches.kt
@@ -10,7 +10,6 @@
 import io.primroseflow.model.TargetId
 import java.io.IOException
 import kotlin.time.Duration
-import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 import kotlinx.coroutines.delay
 import kotlinx.serialization.SerialName
@@ -19,7 +18,7 @@
 import kotlinx.serialization.json.Json
 
 /** Time between two polls of the platform's list. */
-private val POLL_INTERVAL: Duration = 500.milliseconds
+private val POLL_INTERVAL: Duration = 1.seconds
 
 private val POLL_TIMEOUT: Duration = 2.seconds
 
--- a/daemon/src/main/kotlin/io/primroseflow/daemon/scheduling/SlotQueues.kt
+++ b/daemon/src/main/kotlin/io/primroseflow/daemon/scheduling/SlotQueues.kt
@@ -13,6 +13,7 @@
 import kotlin.time.Clock
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
 import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.channels.Channel
 import kotlinx.coroutines.selects.onTimeout
@@ -52,6 +53,9 @@
 /** Time between two looks at deadlines and back-offs. */
 private val TICK: Duration = 50.milliseconds
 
+/** Time between two looks while nothing waits or runs. */
+private val IDLE_WAIT: Duration = 10.seconds
+
 /** The task that owns the scheduler of one pool at this host. */
 internal class PoolTask(settings: SchedulerSettings, private val clock: Clock) : SlotQueue {
     private val scheduler = PoolScheduler(settings)
@@ -95,9 +99,10 @@
     suspend fun run() {
         var nextTick = clock.now() + TICK
         while (true) {
+            val wait = if (scheduler.isIdle) IDLE_WAIT else nextTick - clock.now()
             val message = select<PoolMessage?> {
                 mailbox.onReceive { it }
-                onTimeout((nextTick - clock.now()).coerceAtLeast(Duration.ZERO)) { null }
+                onTimeout(wait.coerceAtLeast(Duration.ZERO)) { null }
             }
             if (message != null) handle(message)
             if (clock.now() >= nextTick) {
--- a/daemon/src/test/kotlin/io/primroseflow/daemon/DaemonFixture.kt
+++ b/daemon/src/test/kotlin/io/primroseflow/daemon/DaemonFixture.kt
@@ -51,7 +51,8 @@
       question: {pool: language, tier: urgent, model: m}
       tag: {pool: language, tier: low, model: m}
       order: {pool: orders, tier: urgent, path: /orders}
-    limits: {header_bytes: 2KiB, body_bytes: 4KiB, connections: 8, in_flight: 6}
+    limits: {header_bytes: 2KiB, body_bytes: 4KiB, connections: 8, in_flight: 6,
+             answer_bytes: 32MiB}
     timeouts: {caller_idle: 500ms, caller_read: 500ms, progress: 30s, turn_away: 0s, drain: 5s}
 """.trimIndent()
 
--- a/daemon/src/test/kotlin/io/primroseflow/daemon/FakeTarget.kt
+++ b/daemon/src/test/kotlin/io/primroseflow/daemon/FakeTarget.kt
@@ -17,6 +17,9 @@
 import java.util.concurrent.ConcurrentHashMap
 import kotlinx.coroutines.awaitCancellation
 
+/** Characters of a large answer; more than all buffers between a host and a caller hold. */
+private const val LARGE = 24 * 1024 * 1024
+
 /** A target that answers at once, or never while [isSilent]. Counts what it received. */
 internal class FakeTarget : AutoCloseable {
     private var server: EmbeddedServer<*, *>? = null
@@ -62,7 +65,11 @@
         received.merge(id, 1, Int::plus)
         if (isSilent) awaitCancellation()
         call.response.header("X-Request-Id", id)
-        if (path.startsWith("/v1/")) stream(call, id) else call.respondText("done for $id")
+        when {
+            path.startsWith("/v1/") -> stream(call, id)
+            path.endsWith("/large") -> call.respondText("x".repeat(LARGE))
+            else -> call.respondText("done for $id")
+        }
     }
 
     private suspend fun stream(call: ApplicationCall, id: String) {
--- a/daemon/src/test/kotlin/io/primroseflow/daemon/caller/CallerLimitsTest.kt
+++ b/daemon/src/test/kotlin/io/primroseflow/daemon/caller/CallerLimitsTest.kt
@@ -46,6 +46,16 @@
                 fixture.connect().use { it.readAll() shouldBe "" }
             }
 
+            it("is closed when its caller does not read, and holds no slot") {
+                val text = order("slow").replace("/orders ", "/orders/large ")
+                val slow = fixture.open(text)
+                awaitTrue { fixture.status().connections == 1 && fixture.status().inProgress == 0 }
+                fixture.status().pools.sumOf { it.running } shouldBe 0
+                fixture.exchange(order("quick")) shouldStartWith "HTTP/1.1 200 "
+                awaitTrue { fixture.status().connections == 0 }
+                slow.close()
+            }
+
             it("is refused over the limit, while the others go on") {
                 val others = (1..8).map { fixture.connect() }
                 awaitTrue { fixture.status().connections == 8 }
--- /dev/null
+++ b/daemon/src/test/kotlin/io/primroseflow/daemon/peer/PeerLinksTest.kt
@@ -0,0 +1,94 @@
+package io.primroseflow.daemon.peer
+
+import io.kotest.core.spec.style.DescribeSpec
+import io.kotest.matchers.collections.shouldContain
+import io.kotest.matchers.shouldBe
+import io.primroseflow.control.PolicyRevision
+import io.primroseflow.daemon.MonotonicClock
+import io.primroseflow.daemon.PeerAddress
+import io.primroseflow.daemon.awaitTrue
+import io.primroseflow.model.DataCentreId
+import io.primroseflow.model.HostId
+import io.primroseflow.timeline.HybridClock
+import java.net.Socket
+import java.util.concurrent.CopyOnWriteArrayList
+import kotlin.time.Clock
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Dispatchers
+import kotlinx.coroutines.SupervisorJob
+import kotlinx.coroutines.cancel
+
+private val a = HostId("a")
+
+private val b = HostId("b")
+
+private fun message(number: Long) = PeerMessage.PolicyPull(PolicyRevision(number))
+
+private fun address(host: HostId, port: Int) =
+    PeerAddress(host, DataCentreId("here"), "127.0.0.1", port)
+
+private class Side(name: HostId) : AutoCloseable {
+    val received = CopyOnWriteArrayList<PeerMessage>()
+    private val scope = CoroutineScope(SupervisorJob() + Dispatchers.Default)
+    val links = PeerLinks(name, scope, MonotonicClock(), HybridClock(Clock.System)) { _, message ->
+        received += message
+    }
+
+    override fun close() {
+        scope.cancel()
+        links.close()
+    }
+}
+
+class PeerLinksTest :
+    DescribeSpec({
+        describe("a link") {
+            it("carries messages in order") {
+                Side(a).use { from ->
+                    Side(b).use { to ->
+                        val port = to.links.listen("127.0.0.1", 0)
+                        from.links.updateAddresses(listOf(address(b, port)))
+                        (1L..500L).forEach { from.links.send(b, message(it)) }
+                        awaitTrue { to.received.size == 500 }
+                        to.received.toList() shouldBe (1L..500L).map(::message)
+                    }
+                }
+            }
+
+            it("is dialled again when something between the ends has forgotten it") {
+                Side(a).use { from ->
+                    Side(b).use { to ->
+                        ForgetfulProxy(to.links.listen("127.0.0.1", 0)).use { proxy ->
+                            from.links.updateAddresses(listOf(address(b, proxy.localPort)))
+                            from.links.send(b, message(1))
+                            awaitTrue { to.received.isNotEmpty() }
+                            proxy.forget()
+                            awaitTrue {
+                                from.links.send(b, message(2))
+                                message(2) in to.received
+                            }
+                            to.received shouldContain message(1)
+                            proxy.accepted.get() shouldBe 2
+                        }
+                    }
+                }
+            }
+
+            it("goes on when another connection sends nonsense") {
+                Side(a).use { from ->
+                    Side(b).use { to ->
+                        val port = to.links.listen("127.0.0.1", 0)
+                        Socket("127.0.0.1", port).use {
+                            it.getOutputStream().write(byteArrayOf(0, 0, 0, 3, 1, 2, 3))
+                        }
+                        Socket("127.0.0.1", port).use {
+                            it.getOutputStream().write(byteArrayOf(127, -1, -1, -1))
+                        }
+                        from.links.updateAddresses(listOf(address(b, port)))
+                        from.links.send(b, message(1))
+                        awaitTrue { to.received.size == 1 }
+                    }
+                }
+            }
+        }
+    })
