--- a/daemon/src/main/kotlin/io/primroseflow/daemon/control/ControlPlane.kt
+++ b/daemon/src/main/kotlin/io/primroseflow/daemon/control/ControlPlane.kt
@@ -26,6 +26,9 @@
 
 private val CONFIRM_TIMEOUT: Duration = 3.seconds
 
+/** Hosts that a starting host asks for the policy; the control group is asked as well. */
+private const val FIRST_PULLS = 3
+
 /**
  * What this host has to do with the other hosts: links, control replica, membership and the
  * spreading of the policy.
@@ -40,7 +43,7 @@
     private val policy: PolicyInForce,
     private val phase: () -> HostPhase,
     storage: ReplicaStorage?,
-    random: Random
+    private val random: Random
 ) {
     private val self = settings.host
     private val peers = settings.peers.associateBy { it.host }
@@ -76,7 +79,8 @@
         val port = links.listen(settings.bind, settings.peerPort)
         replica?.let { scope.launch { it.run() } }
         scope.launch { gossip.run() }
-        peers.keys.forEach { links.send(it, PeerMessage.PolicyPull(policy.revision)) }
+        peers.keys.shuffled(random).take(FIRST_PULLS)
+            .forEach { links.send(it, PeerMessage.PolicyPull(policy.revision)) }
         return port
     }
 
