--- a/core/src/main/kotlin/io/primroseflow/request/Outcomes.kt
+++ b/core/src/main/kotlin/io/primroseflow/request/Outcomes.kt
@@ -80,5 +80,6 @@
     CallerLeft("caller_left_running", 499),
     ClaimantLost("claimant_lost", 409),
     AnswerNotKept("answer_not_kept", 409),
+    OwnerLost("owner_lost", 502),
     HostStopping("host_stopping_running", 503)
 }
--- a/daemon/src/main/kotlin/io/primroseflow/daemon/Daemons.kt
+++ b/daemon/src/main/kotlin/io/primroseflow/daemon/Daemons.kt
@@ -20,9 +20,12 @@
 import io.primroseflow.daemon.operator.StatusReport
 import io.primroseflow.daemon.operator.TimelineJournal
 import io.primroseflow.daemon.operator.addGauges
+import io.primroseflow.daemon.peer.PeerMessage
 import io.primroseflow.daemon.platform.PlatformWatch
 import io.primroseflow.daemon.request.OutcomeRegistry
+import io.primroseflow.daemon.request.RemoteRequests
 import io.primroseflow.daemon.request.RequestDesk
+import io.primroseflow.daemon.request.RequestDirectory
 import io.primroseflow.daemon.request.RequestMessage
 import io.primroseflow.daemon.request.RequestServices
 import io.primroseflow.daemon.scheduling.PoolTask
@@ -34,6 +37,7 @@
 import io.primroseflow.daemon.target.TargetConnector
 import io.primroseflow.daemon.target.TargetWatchListener
 import io.primroseflow.daemon.target.TargetWatchers
+import io.primroseflow.model.HostId
 import io.primroseflow.model.TargetId
 import io.primroseflow.policy.CheckedPolicy
 import io.primroseflow.policy.Policy
@@ -95,6 +99,7 @@
 internal class Daemon(private val inputs: DaemonInputs) : OperatorView {
     private val log = LogManager.getLogger(Daemon::class.java)
     private val settings = inputs.settings
+    private val allHosts = settings.peers.map { it.host } + settings.host
 
     @Volatile
     private var phase = HostPhase.Serving
@@ -112,13 +117,22 @@
     private val policyInForce = PolicyInForce(inputs.policy, clock, ::onPolicyChange)
     private val registry =
         OutcomeRegistry(clock, limits = { policy.limits }, timeouts = { policy.timeouts })
-    private val controlPlane = ControlPlane(
+    private val directory = RequestDirectory(clock) { policy.timeouts.outcomeRetention }
+    private val remoteRequests: RemoteRequests = RemoteRequests(
+        self = settings.host,
+        hosts = { allHosts },
+        directory = directory,
+        registry = registry,
+        send = ::sendToPeer
+    )
+    private val controlPlane: ControlPlane = ControlPlane(
         settings = settings,
         scope = scope,
         clock = clock,
         hybridClock = hybridClock,
         policy = policyInForce,
         phase = { phase },
+        onRequestMessage = remoteRequests::handle,
         storage = inputs.storage,
         random = inputs.random
     )
@@ -129,15 +143,18 @@
         targets = HttpTargets(scope, connector) { policy },
         ledger = ledger,
         journal = journal,
-        registry = registry
+        registry = registry,
+        forgetOwner = remoteRequests::forget
     )
     private val desk = RequestDesk(scope, services, limits = { policy.limits }, slotsOf = pools::of)
     private val callerServer = CallerServer(
+        self = settings.host,
         clock = clock,
         policy = { policy },
         reader = CallerRequestReader(clock, { policy }, { inputs.credentials }, ::isUsable),
         desk = desk,
         registry = registry,
+        remoteRequests = remoteRequests,
         metrics = metrics,
         isReady = { isReady }
     )
@@ -214,6 +231,8 @@
         return server.engine.resolvedConnectors().single().port
     }
 
+    private fun sendToPeer(to: HostId, message: PeerMessage) = controlPlane.send(to, message)
+
     private fun address(port: Int) = ListenAddress(settings.bind, port)
 
     private fun onPolicyChange(changed: CheckedPolicy, revision: PolicyRevision) {
--- a/daemon/src/main/kotlin/io/primroseflow/daemon/caller/AnswerWriters.kt
+++ b/daemon/src/main/kotlin/io/primroseflow/daemon/caller/AnswerWriters.kt
@@ -13,7 +13,6 @@
 import io.primroseflow.daemon.request.AnswerPart
 import io.primroseflow.daemon.request.AnswerReader
 import io.primroseflow.daemon.request.AnswerSlice
-import io.primroseflow.daemon.request.RequestTask
 import io.primroseflow.model.RequestId
 import io.primroseflow.request.Interruption
 import io.primroseflow.request.Outcome
@@ -36,13 +35,11 @@
  */
 internal class AnswerWriter(
     private val call: ApplicationCall,
-    private val task: RequestTask,
+    private val id: RequestId,
     private val reader: AnswerReader,
     private val timeLeft: () -> Duration,
     private val writeTimeout: Duration
 ) {
-    private val id = task.request.id
-
     /** Writes the answer in [form]. */
     suspend fun write(form: AnswerForm) {
         when (form) {
--- a/daemon/src/main/kotlin/io/primroseflow/daemon/caller/CallerAnswers.kt
+++ b/daemon/src/main/kotlin/io/primroseflow/daemon/caller/CallerAnswers.kt
@@ -108,5 +108,6 @@
     Interruption.CallerLeft -> "the caller left while the request ran"
     Interruption.ClaimantLost -> "the key was claimed by a request whose end is not known"
     Interruption.AnswerNotKept -> "the request was delivered before and its answer is not kept"
+    Interruption.OwnerLost -> "the host that owns the request does not answer"
     Interruption.HostStopping -> "the host stopped while the request ran"
 }
--- a/daemon/src/main/kotlin/io/primroseflow/daemon/caller/CallerRequests.kt
+++ b/daemon/src/main/kotlin/io/primroseflow/daemon/caller/CallerRequests.kt
@@ -107,7 +107,8 @@
             key = key,
             deadline = clock.now() + timeout,
             work = work,
-            bodyDigest = digestOf(work)
+            bodyDigest = digestOf(work),
+            isNamedByCaller = CallerHeaders.REQUEST_ID in call.request.headers
         )
         return Ok(CallerRequest(accepted, answerForm))
     }
--- a/daemon/src/main/kotlin/io/primroseflow/daemon/control/ControlPlane.kt
+++ b/daemon/src/main/kotlin/io/primroseflow/daemon/control/ControlPlane.kt
@@ -42,6 +42,7 @@
     hybridClock: HybridClock,
     private val policy: PolicyInForce,
     private val phase: () -> HostPhase,
+    private val onRequestMessage: (HostId, PeerMessage.AboutRequest) -> Unit,
     storage: ReplicaStorage?,
     private val random: Random
 ) {
@@ -84,6 +85,9 @@
         return port
     }
 
+    /** Sends [message] to host [to]; it may be lost. */
+    fun send(to: HostId, message: PeerMessage) = links.send(to, message)
+
     /** Spreads a changed policy quickly. */
     fun onPolicyChanged() = gossip.onPolicyChanged()
 
@@ -134,6 +138,8 @@
 
             is PeerMessage.PolicyPush -> policy.offer(message.policy)
 
+            is PeerMessage.AboutRequest -> onRequestMessage(from, message)
+
             PeerMessage.HistoryQuestion ->
                 links.send(from, PeerMessage.HistoryAnswer(hasHistory()))
 
--- a/daemon/src/main/kotlin/io/primroseflow/daemon/peer/PeerMessages.kt
+++ b/daemon/src/main/kotlin/io/primroseflow/daemon/peer/PeerMessages.kt
@@ -1,13 +1,20 @@
 package io.primroseflow.daemon.peer
 
+import io.primroseflow.consensus.CommandBytes
 import io.primroseflow.consensus.ReplicaMessage
 import io.primroseflow.control.AcceptedPolicy
 import io.primroseflow.control.ControlAnswer
 import io.primroseflow.control.ControlCommand
 import io.primroseflow.control.PolicyHead
 import io.primroseflow.control.PolicyRevision
+import io.primroseflow.daemon.request.HeaderField
 import io.primroseflow.membership.MemberNews
+import io.primroseflow.model.CallerId
 import io.primroseflow.model.HostId
+import io.primroseflow.model.KindId
+import io.primroseflow.model.RequestId
+import io.primroseflow.model.TeamId
+import io.primroseflow.request.Outcome
 import io.primroseflow.timeline.HybridTime
 import kotlinx.serialization.SerialName
 import kotlinx.serialization.Serializable
@@ -92,6 +99,32 @@
     data object Lost : ControlReply
 }
 
+/** What the owner of a request says of it. */
+@Serializable
+internal sealed interface RequestReport {
+    /** The request is not known here, or belongs to another caller. */
+    @Serializable
+    @SerialName("no")
+    data object NotKnown : RequestReport
+
+    /** The request has no outcome yet. */
+    @Serializable
+    @SerialName("run")
+    data class InProgress(val kind: KindId) : RequestReport
+
+    /** The request has ended; [pieces] hold its answer when it is kept. */
+    @Serializable
+    @SerialName("end")
+    data class Ended(
+        val kind: KindId,
+        val outcome: Outcome,
+        val status: Int?,
+        val headers: List<HeaderField>,
+        val isEvents: Boolean,
+        val pieces: List<CommandBytes>
+    ) : RequestReport
+}
+
 /** A message between two hosts. Messages may be lost, and callers repeat them. */
 @Serializable
 internal sealed interface PeerMessage {
@@ -110,6 +143,45 @@
     @SerialName("re")
     data class ControlReturn(val call: CallId, val reply: ControlReply) : PeerMessage
 
+    /** A message about the owner or the end of a request. */
+    @Serializable
+    sealed interface AboutRequest : PeerMessage
+
+    /** Asks the home of a request for its owner; the sender becomes it when it is claiming. */
+    @Serializable
+    @SerialName("own?")
+    data class OwnerQuestion(
+        val call: CallId,
+        val team: TeamId,
+        val request: RequestId,
+        val isClaiming: Boolean
+    ) : AboutRequest
+
+    /** Answers an [OwnerQuestion]. */
+    @Serializable
+    @SerialName("own")
+    data class OwnerAnswer(val call: CallId, val owner: HostId?) : AboutRequest
+
+    /** Lets the home of a request forget that the sender owns it. */
+    @Serializable
+    @SerialName("own-")
+    data class OwnerForget(val team: TeamId, val request: RequestId) : AboutRequest
+
+    /** Asks the owner of a request for its end. */
+    @Serializable
+    @SerialName("end?")
+    data class ReportQuestion(
+        val call: CallId,
+        val team: TeamId,
+        val request: RequestId,
+        val caller: CallerId
+    ) : AboutRequest
+
+    /** Answers a [ReportQuestion]. */
+    @Serializable
+    @SerialName("end")
+    data class ReportAnswer(val call: CallId, val report: RequestReport) : AboutRequest
+
     /** Asks whether the receiver's control replica has any history. */
     @Serializable
     @SerialName("new")
--- a/daemon/src/main/kotlin/io/primroseflow/daemon/request/AcceptedRequests.kt
+++ b/daemon/src/main/kotlin/io/primroseflow/daemon/request/AcceptedRequests.kt
@@ -37,6 +37,7 @@
  * A request that was accepted from a caller.
  *
  * @property key present on non-idempotent requests only
+ * @property isNamedByCaller whether the caller chose the id, so that it can send it again
  * @property attempt identifies this attempt among all attempts of all requests
  * @property bodyDigest tells a resend from another request with the same id
  */
@@ -51,6 +52,7 @@
     val deadline: Instant,
     val work: Work,
     val bodyDigest: String,
+    val isNamedByCaller: Boolean = false,
     val attempt: String = UUID.randomUUID().toString()
 ) {
     val ticket: Ticket get() = Ticket(team, id)
--- a/daemon/src/main/kotlin/io/primroseflow/daemon/request/AnswerBuffers.kt
+++ b/daemon/src/main/kotlin/io/primroseflow/daemon/request/AnswerBuffers.kt
@@ -4,8 +4,10 @@
 import io.primroseflow.request.Outcome
 import kotlinx.collections.immutable.PersistentList
 import kotlinx.coroutines.channels.Channel
+import kotlinx.serialization.Serializable
 
 /** A header field of an answer. */
+@Serializable
 internal data class HeaderField(val name: String, val value: String)
 
 /** A piece of an answer. */
--- a/daemon/src/main/kotlin/io/primroseflow/daemon/request/RequestTasks.kt
+++ b/daemon/src/main/kotlin/io/primroseflow/daemon/request/RequestTasks.kt
@@ -268,6 +268,9 @@
         services.journal.moved(request, state)
         answer.finish(outcome)
         services.registry.recordEnd(this)
+        if (outcome is Outcome.NotRun && request.isNamedByCaller) {
+            services.forgetOwner(request.ticket)
+        }
     }
 
     private fun nextState(event: RequestEvent): RequestState =
--- /dev/null
+++ b/daemon/src/test/kotlin/io/primroseflow/daemon/request/RequestDirectoryTest.kt
@@ -0,0 +1,76 @@
+package io.primroseflow.daemon.request
+
+import io.kotest.core.spec.style.DescribeSpec
+import io.kotest.matchers.collections.shouldHaveSize
+import io.kotest.matchers.shouldBe
+import io.primroseflow.model.HostId
+import io.primroseflow.model.RequestId
+import io.primroseflow.model.TeamId
+import io.primroseflow.scheduling.Ticket
+import kotlin.time.Clock
+import kotlin.time.Duration.Companion.seconds
+import kotlin.time.Instant
+
+private val a = HostId("a")
+
+private val b = HostId("b")
+
+private fun ticket(name: String) = Ticket(TeamId("one"), RequestId(name))
+
+private class SetClock : Clock {
+    var time: Instant = Instant.fromEpochSeconds(1_000)
+
+    override fun now(): Instant = time
+}
+
+class RequestDirectoryTest :
+    DescribeSpec({
+        describe("the owner of a request") {
+            it("is the host that asked first") {
+                val directory = RequestDirectory(SetClock()) { 60.seconds }
+                directory.ownerOf(ticket("r1"), a) shouldBe a
+                directory.ownerOf(ticket("r1"), b) shouldBe a
+                directory.ownerOf(ticket("r2"), b) shouldBe b
+            }
+
+            it("is forgotten when it did not run the request, by its own word only") {
+                val directory = RequestDirectory(SetClock()) { 60.seconds }
+                directory.ownerOf(ticket("r1"), a)
+                directory.forget(ticket("r1"), b)
+                directory.ownerOf(ticket("r1"), b) shouldBe a
+                directory.forget(ticket("r1"), a)
+                directory.ownerOf(ticket("r1"), b) shouldBe b
+            }
+
+            it("is remembered for as long as outcomes are kept") {
+                val clock = SetClock()
+                val directory = RequestDirectory(clock) { 60.seconds }
+                directory.ownerOf(ticket("r1"), a)
+                clock.time += 61.seconds
+                directory.ownerOf(ticket("r2"), a)
+                directory.findOrNull(ticket("r1")) shouldBe null
+            }
+        }
+
+        describe("the home of a request") {
+            val hosts = (1..9).map { HostId("h$it") }
+
+            it("is the same whatever the order of the hosts") {
+                for (i in 1..200) {
+                    val home = homeOf(ticket("r$i"), hosts)
+                    homeOf(ticket("r$i"), hosts.reversed()) shouldBe home
+                }
+            }
+
+            it("changes only for the requests of a host that is taken out") {
+                for (i in 1..200) {
+                    val home = homeOf(ticket("r$i"), hosts)
+                    if (home != hosts[0]) homeOf(ticket("r$i"), hosts - hosts[0]) shouldBe home
+                }
+            }
+
+            it("is spread over all hosts") {
+                (1..200).map { homeOf(ticket("r$it"), hosts) }.toSet() shouldHaveSize hosts.size
+            }
+        }
+    })
