Commit the package for targets, which the ignore list swallowed

Cause: the pattern target/ matched the package io.primroseflow.daemon.target as well as the build folders, so a fresh clone did not compile.

--- /dev/null
+++ b/daemon/src/main/kotlin/io/primroseflow/daemon/target/EngineExchanges.kt
@@ -0,0 +1,162 @@
+package io.primroseflow.daemon.target
+
+import com.github.michaelbull.result.get
+import io.ktor.http.Url
+import io.ktor.http.cio.ParserException
+import io.ktor.http.cio.Response
+import io.primroseflow.daemon.request.AcceptedRequest
+import io.primroseflow.daemon.request.AnswerPart
+import io.primroseflow.daemon.request.HeaderField
+import io.primroseflow.daemon.request.Work
+import io.primroseflow.policy.Timeouts
+import io.primroseflow.request.Interruption
+import java.io.IOException
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlinx.coroutines.TimeoutCancellationException
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.withTimeout
+
+/** Resumptions of one answer without progress in between. */
+private const val MAX_RESUMES = 4
+
+private val RESUME_PAUSE: Duration = 100.milliseconds
+
+private const val HTTP_OK = 200
+
+private val doneMarker = "[DONE]".encodeToByteArray()
+
+private val errorPrefix = "{\"error\"".encodeToByteArray()
+
+/** The id under which a target knows [this] request; unique over all teams. */
+internal val AcceptedRequest.targetRequestId: String get() = "$team.$id"
+
+/** The exchange of one completion with a model engine. */
+internal class EngineExchange(
+    private val connector: TargetConnector,
+    private val url: Url,
+    private val request: AcceptedRequest,
+    private val work: Work.Completion,
+    private val timeouts: Timeouts,
+    private val observer: ExchangeObserver,
+    private val resumePause: Duration = RESUME_PAUSE
+) {
+    private val id = request.targetRequestId
+    private val idBytes = id.encodeToByteArray()
+    private var received = 0
+
+    /** Runs the exchange; resumes the answer when its connection is lost. */
+    suspend fun run(): ExchangeEnd {
+        val connection = connector.connect(url, timeouts.connect).get()
+            ?: return ExchangeEnd.NotConnected
+        var end = connection.use {
+            observer.onWriteStarting()
+            guarded {
+                write(it)
+                readAnswer(it)
+            }
+        }
+        var attempts = 0
+        while (isResumable(end) && attempts < MAX_RESUMES) {
+            val before = received
+            delay(resumePause)
+            end = resume()
+            attempts = if (received > before) 0 else attempts + 1
+        }
+        return end
+    }
+
+    private fun isResumable(end: ExchangeEnd): Boolean {
+        val cause = (end as? ExchangeEnd.Interrupted)?.cause
+        return cause == Interruption.ConnectionLost || cause == Interruption.ProgressTimeout
+    }
+
+    private suspend fun resume(): ExchangeEnd {
+        val connection = connector.connect(url, timeouts.connect).get()
+            ?: return ExchangeEnd.Interrupted(Interruption.ConnectionLost)
+        return connection.use {
+            observer.onResumed()
+            guarded {
+                val path = "/v1/streams/$id?offset=$received"
+                it.write(RequestHead("GET", path, emptyList()), ByteArray(0))
+                readAnswer(it)
+            }
+        }
+    }
+
+    private suspend fun write(connection: TargetConnection) {
+        val headers = listOf(
+            HeaderField("Content-Type", "application/json"),
+            HeaderField("Accept", "text/event-stream"),
+            HeaderField("X-Request-Id", id)
+        )
+        connection.write(RequestHead("POST", work.path, headers), work.body)
+    }
+
+    private suspend fun readAnswer(connection: TargetConnection): ExchangeEnd {
+        val head = withTimeout(timeouts.progress) { connection.readHead() }
+            ?: return ExchangeEnd.Interrupted(Interruption.ConnectionLost)
+        val refused = refusalOrNull(head)
+        val framing = head.bodyFraming()
+        head.release()
+        if (refused != null) return ExchangeEnd.Interrupted(refused)
+        if (framing is BodyFraming.Ambiguous) {
+            return ExchangeEnd.Interrupted(Interruption.TargetFailed)
+        }
+        return readEvents(EventStreamReader(framing.source(connection.input)))
+    }
+
+    private fun refusalOrNull(head: Response): Interruption? {
+        val echo = head.headers["X-Request-Id"]
+        return when {
+            head.status != HTTP_OK -> interruptionFor(head.status)
+            echo != null && echo.toString() != id -> Interruption.ForeignAnswer
+            else -> null
+        }
+    }
+
+    private suspend fun readEvents(events: EventStreamReader): ExchangeEnd {
+        while (true) {
+            val data = withTimeout(timeouts.progress) { events.nextOrNull() }
+            val cause = when {
+                data == null -> Interruption.ConnectionLost
+                data.contentEquals(doneMarker) -> return ExchangeEnd.Completed
+                data.startsWith(errorPrefix) -> Interruption.TargetFailed
+                !data.contains(idBytes) -> Interruption.ForeignAnswer
+                !observer.onPart(AnswerPart.Event(data)) -> Interruption.AnswerTooLarge
+                else -> null
+            }
+            if (cause != null) return ExchangeEnd.Interrupted(cause)
+            received++
+        }
+    }
+}
+
+/** Returns the interruption that a target's error [status] amounts to. */
+internal fun interruptionFor(status: Int): Interruption =
+    if (status == 429 || status == 503) Interruption.TargetRefused else Interruption.TargetFailed
+
+/** Runs [exchange] after the first write and turns its failures into ends. */
+internal suspend fun guarded(exchange: suspend () -> ExchangeEnd): ExchangeEnd = try {
+    exchange()
+} catch (_: TimeoutCancellationException) {
+    ExchangeEnd.Interrupted(Interruption.ProgressTimeout)
+} catch (_: IOException) {
+    ExchangeEnd.Interrupted(Interruption.ConnectionLost)
+} catch (_: ParserException) {
+    ExchangeEnd.Interrupted(Interruption.TargetFailed)
+} catch (_: EventStreamException) {
+    ExchangeEnd.Interrupted(Interruption.TargetFailed)
+}
+
+private fun ByteArray.startsWith(prefix: ByteArray): Boolean =
+    size >= prefix.size && prefix.indices.all { this[it] == prefix[it] }
+
+private fun ByteArray.contains(part: ByteArray): Boolean {
+    for (start in 0..size - part.size) {
+        var i = 0
+        while (i < part.size && this[start + i] == part[i]) i++
+        if (i == part.size) return true
+    }
+    return false
+}
--- /dev/null
+++ b/daemon/src/main/kotlin/io/primroseflow/daemon/target/ServiceExchanges.kt
@@ -0,0 +1,111 @@
+package io.primroseflow.daemon.target
+
+import com.github.michaelbull.result.get
+import io.ktor.http.Url
+import io.ktor.http.cio.Response
+import io.ktor.utils.io.ByteReadChannel
+import io.primroseflow.daemon.request.AcceptedRequest
+import io.primroseflow.daemon.request.AnswerPart
+import io.primroseflow.daemon.request.HeaderField
+import io.primroseflow.daemon.request.Work
+import io.primroseflow.policy.Timeouts
+import io.primroseflow.request.Interruption
+import kotlinx.collections.immutable.toPersistentList
+import kotlinx.coroutines.withTimeout
+
+private const val READ_SIZE = 8 * 1024
+
+/** Headers that describe a connection and are not passed on. */
+private val connectionHeaders = setOf(
+    "connection",
+    "content-length",
+    "date",
+    "keep-alive",
+    "proxy-authenticate",
+    "proxy-authorization",
+    "proxy-connection",
+    "server",
+    "te",
+    "trailer",
+    "transfer-encoding",
+    "upgrade",
+    "x-request-id"
+)
+
+/** Tells whether the header [name] belongs to the message and not to its connection. */
+internal fun isEndToEndHeader(name: String): Boolean = name.lowercase() !in connectionHeaders
+
+/** The exchange of one call with a plain service. */
+internal class ServiceExchange(
+    private val connector: TargetConnector,
+    private val url: Url,
+    private val request: AcceptedRequest,
+    private val work: Work.Call,
+    private val timeouts: Timeouts,
+    private val observer: ExchangeObserver
+) {
+    /** Runs the exchange; a call is never repeated or resumed. */
+    suspend fun run(): ExchangeEnd {
+        val connection = connector.connect(url, timeouts.connect).get()
+            ?: return ExchangeEnd.NotConnected
+        return connection.use {
+            observer.onWriteStarting()
+            guarded {
+                write(it)
+                readAnswer(it)
+            }
+        }
+    }
+
+    private suspend fun write(connection: TargetConnection) {
+        val own = listOfNotNull(
+            HeaderField("X-Request-Id", request.targetRequestId),
+            request.key?.let { HeaderField("Idempotency-Key", "${request.team}.$it") }
+        )
+        connection.write(RequestHead(work.method, work.path, work.headers + own), work.body)
+    }
+
+    private suspend fun readAnswer(connection: TargetConnection): ExchangeEnd {
+        val head = withTimeout(timeouts.progress) { connection.readHead() }
+            ?: return ExchangeEnd.Interrupted(Interruption.ConnectionLost)
+        val echo = head.headers["X-Request-Id"]?.toString()
+        val framing = if (work.method == "HEAD") BodyFraming.Sized(0) else head.bodyFraming()
+        val part = headPart(head)
+        head.release()
+        if (echo != null && echo != request.targetRequestId) {
+            return ExchangeEnd.Interrupted(Interruption.ForeignAnswer)
+        }
+        if (!observer.onPart(part)) return ExchangeEnd.Interrupted(Interruption.AnswerTooLarge)
+        return readBody(connection.input, framing)
+    }
+
+    private fun headPart(head: Response): AnswerPart.Head {
+        val headers = head.headers
+        val fields = headers.offsets()
+            .map { HeaderField("${headers.nameAtOffset(it)}", "${headers.valueAtOffset(it)}") }
+            .filter { isEndToEndHeader(it.name) }
+        return AnswerPart.Head(head.status, fields.toList().toPersistentList())
+    }
+
+    private suspend fun readBody(input: ByteReadChannel, framing: BodyFraming): ExchangeEnd =
+        when (framing) {
+            BodyFraming.Ambiguous -> ExchangeEnd.Interrupted(Interruption.TargetFailed)
+
+            // Without a length a cut answer looks like a whole one, so it is never passed on.
+            BodyFraming.UntilClose -> ExchangeEnd.Interrupted(Interruption.ConnectionLost)
+
+            is BodyFraming.Sized, BodyFraming.Chunked -> readToEnd(framing.source(input))
+        }
+
+    private suspend fun readToEnd(body: BodySource): ExchangeEnd {
+        val buffer = ByteArray(READ_SIZE)
+        while (true) {
+            val count = withTimeout(timeouts.progress) { body.read(buffer) }
+            if (count < 0) return ExchangeEnd.Completed
+            if (!take(buffer, count)) return ExchangeEnd.Interrupted(Interruption.AnswerTooLarge)
+        }
+    }
+
+    private fun take(buffer: ByteArray, count: Int): Boolean =
+        count == 0 || observer.onPart(AnswerPart.Body(buffer.copyOf(count)))
+}
--- /dev/null
+++ b/daemon/src/main/kotlin/io/primroseflow/daemon/target/TargetWatchers.kt
@@ -0,0 +1,38 @@
+package io.primroseflow.daemon.target
+
+import io.ktor.client.HttpClient
+import io.primroseflow.model.TargetId
+import io.primroseflow.policy.Policy
+import io.primroseflow.policy.Target
+import kotlin.time.Clock
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Job
+import kotlinx.coroutines.launch
+
+/** Runs a watch for every target of the policy. */
+internal class TargetWatchers(
+    private val client: HttpClient,
+    private val clock: Clock,
+    private val scope: CoroutineScope,
+    private val board: TargetBoard,
+    private val listener: TargetWatchListener
+) {
+    private class Running(val target: Target, val job: Job)
+
+    private val running = HashMap<TargetId, Running>()
+
+    /** Takes over [policy]: starts, restarts and stops watches where targets have changed. */
+    @Synchronized
+    fun reconfigure(policy: Policy) {
+        val targets = policy.pools.values.flatMap { it.targets.values }.associateBy { it.id }
+        val stale = running.filter { (id, watch) -> targets[id] != watch.target }
+        for ((id, watch) in stale) {
+            watch.job.cancel()
+            running -= id
+        }
+        for (target in targets.values - running.values.map { it.target }.toSet()) {
+            val watch = TargetWatch(client, target, clock, board, listener)
+            running[target.id] = Running(target, scope.launch { watch.run() })
+        }
+    }
+}
--- /dev/null
+++ b/daemon/src/main/kotlin/io/primroseflow/daemon/target/TargetWatches.kt
@@ -0,0 +1,119 @@
+package io.primroseflow.daemon.target
+
+import io.ktor.client.HttpClient
+import io.ktor.client.plugins.timeout
+import io.ktor.client.request.get
+import io.ktor.client.statement.bodyAsText
+import io.ktor.http.HttpStatusCode
+import io.primroseflow.model.TargetId
+import io.primroseflow.model.Tokens
+import io.primroseflow.policy.Target
+import io.primroseflow.scheduling.LoadReport
+import java.io.IOException
+import kotlin.time.Clock
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+import kotlinx.coroutines.delay
+import kotlinx.serialization.KSerializer
+import kotlinx.serialization.SerialName
+import kotlinx.serialization.Serializable
+import kotlinx.serialization.SerializationException
+import kotlinx.serialization.json.Json
+
+/** Time between two polls of a target. */
+private val POLL_INTERVAL: Duration = 1.seconds
+
+private val POLL_TIMEOUT: Duration = 1.seconds
+
+/** Failed polls in a row after which a target counts as silent. */
+private const val SILENT_AFTER = 3
+
+/** A target's report of its load, as sent by the target. */
+@Serializable
+internal data class LoadMessage(
+    val running: Int = 0,
+    val waiting: Int = 0,
+    @SerialName("kv_used_tokens") val kvUsedTokens: Long = 0,
+    @SerialName("age_ms") val ageMillis: Long = 0,
+    val leaving: Boolean = false
+)
+
+/** A change of a target's prefix cache, as sent by the target. */
+@Serializable
+internal data class CacheEventMessage(val seq: Long, val digest: Long, val present: Boolean)
+
+/** The changes of a target's prefix cache after a sequence number. */
+@Serializable
+internal data class CacheEventsMessage(val events: List<CacheEventMessage> = emptyList())
+
+/** Receives what a watch finds out. */
+internal interface TargetWatchListener {
+    /** The target reported its load. */
+    fun onLoad(target: TargetId, report: LoadReport)
+
+    /** The target reported a change of its prefix cache. */
+    fun onPrefix(target: TargetId, digest: Long, isPresent: Boolean)
+}
+
+/** Polls one target for its load and its cache events. */
+internal class TargetWatch(
+    private val client: HttpClient,
+    private val target: Target,
+    private val clock: Clock,
+    private val board: TargetBoard,
+    private val listener: TargetWatchListener
+) {
+    private val json = Json { ignoreUnknownKeys = true }
+    private var failures = 0
+    private var lastEvent = 0L
+
+    /** Runs until cancelled. */
+    suspend fun run() {
+        while (true) {
+            val isAlive = pollLoad()
+            noteReach(isAlive)
+            if (isAlive && target.kvTokens != null) pollCacheEvents()
+            delay(POLL_INTERVAL)
+        }
+    }
+
+    private fun noteReach(isAlive: Boolean) {
+        failures = if (isAlive) 0 else failures + 1
+        board.update(target.id, TargetConcern.Silent, isRaised = failures >= SILENT_AFTER)
+    }
+
+    private suspend fun pollLoad(): Boolean {
+        val text = fetchOrNull("/load") ?: return false
+        val message = decodeOrNull(LoadMessage.serializer(), text) ?: return true
+        val at = clock.now() - message.ageMillis.coerceAtLeast(0).milliseconds
+        val kvUsed = Tokens(message.kvUsedTokens)
+        listener.onLoad(target.id, LoadReport(message.running + message.waiting, kvUsed, at))
+        board.update(target.id, TargetConcern.SaysLeaving, message.leaving)
+        return true
+    }
+
+    private suspend fun pollCacheEvents() {
+        val text = fetchOrNull("/cache/events?after=$lastEvent") ?: return
+        val message = decodeOrNull(CacheEventsMessage.serializer(), text) ?: return
+        for (event in message.events) {
+            lastEvent = maxOf(lastEvent, event.seq)
+            listener.onPrefix(target.id, event.digest, event.present)
+        }
+    }
+
+    private suspend fun fetchOrNull(path: String): String? = try {
+        val response = client.get(target.url + path) {
+            timeout { requestTimeoutMillis = POLL_TIMEOUT.inWholeMilliseconds }
+        }
+        if (response.status == HttpStatusCode.OK) response.bodyAsText() else null
+    } catch (_: IOException) {
+        null
+    }
+
+    private fun <T> decodeOrNull(serializer: KSerializer<T>, text: String): T? = try {
+        json.decodeFromString(serializer, text)
+    } catch (_: SerializationException) {
+        null
+    }
+}
