--- a/daemon/src/main/kotlin/io/primroseflow/daemon/Daemons.kt
+++ b/daemon/src/main/kotlin/io/primroseflow/daemon/Daemons.kt
@@ -9,6 +9,8 @@
 import io.primroseflow.daemon.caller.CallerServer
 import io.primroseflow.daemon.caller.Credentials
 import io.primroseflow.daemon.caller.ListenAddress
+import io.primroseflow.daemon.caller.RequestAnswers
+import io.primroseflow.daemon.caller.RequestLookup
 import io.primroseflow.daemon.caller.sha256
 import io.primroseflow.daemon.control.ControlPlane
 import io.primroseflow.daemon.control.PolicyInForce
@@ -147,14 +149,26 @@
         forgetOwner = remoteRequests::forget
     )
     private val desk = RequestDesk(scope, services, limits = { policy.limits }, slotsOf = pools::of)
-    private val callerServer = CallerServer(
+    private val answers = RequestAnswers(
         self = settings.host,
         clock = clock,
-        policy = { policy },
-        reader = CallerRequestReader(clock, { policy }, { inputs.credentials }, ::isUsable),
+        callerRead = { policy.timeouts.callerRead },
         desk = desk,
         registry = registry,
         remoteRequests = remoteRequests,
+        metrics = metrics
+    )
+    private val lookup = RequestLookup(
+        self = settings.host,
+        callerRead = { policy.timeouts.callerRead },
+        registry = registry,
+        remoteRequests = remoteRequests
+    )
+    private val callerServer = CallerServer(
+        policy = { policy },
+        reader = CallerRequestReader(clock, { policy }, { inputs.credentials }, ::isUsable),
+        answers = answers,
+        lookup = lookup,
         metrics = metrics,
         isReady = { isReady }
     )
