Note the owner of a request at two homes

Cause: a trial with six processes killed an owner that was the home of its request as well; the next host went on without it and the request was started twice. Ruled out: a quorum for each id, too dear for requests that may repeat. Change: the owner is noted at a second home, which is asked when the first does not answer.

--- a/daemon/src/main/kotlin/io/primroseflow/daemon/request/RemoteRequests.kt
+++ b/daemon/src/main/kotlin/io/primroseflow/daemon/request/RemoteRequests.kt
@@ -41,16 +41,21 @@
     /**
      * Returns the host that owns [ticket], this one when none did.
      *
-     * @return `null` when the home of the request does not answer
+     * @return `null` when no home of the request answers
      */
-    suspend fun ownerOf(ticket: Ticket): HostId? = askOwner(ticket, isClaiming = true)
+    suspend fun ownerOf(ticket: Ticket): HostId? {
+        val owner = askHomes(ticket, isClaiming = true)
+        if (owner == self) noteAtLastHome(ticket)
+        return owner
+    }
 
     /** Returns the host that owns [ticket], `null` when none is known. */
-    suspend fun findOwnerOrNull(ticket: Ticket): HostId? = askOwner(ticket, isClaiming = false)
+    suspend fun findOwnerOrNull(ticket: Ticket): HostId? = askHomes(ticket, isClaiming = false)
 
-    /** Lets the home of [ticket] forget it, since it was not run. */
+    /** Lets the homes of [ticket] forget it, since it was not run. */
     fun forget(ticket: Ticket) {
-        send(homeOf(ticket, hosts()), PeerMessage.OwnerForget(ticket.team, ticket.request))
+        val message = PeerMessage.OwnerForget(ticket.team, ticket.request)
+        homesOf(ticket, hosts()).forEach { send(it, message) }
     }
 
     /** Returns what [owner] knows of [ticket] of [caller], `null` when it does not answer. */
@@ -94,11 +99,11 @@
         }
     }
 
-    private suspend fun askOwner(ticket: Ticket, isClaiming: Boolean): HostId? {
-        val home = homeOf(ticket, hosts())
-        if (home == self) {
-            return if (isClaiming) directory.ownerOf(ticket, self) else directory.findOrNull(ticket)
-        }
+    /** Returns the answer of the first home that gives one. */
+    private suspend fun askHomes(ticket: Ticket, isClaiming: Boolean): HostId? =
+        homesOf(ticket, hosts()).firstNotNullOfOrNull { askHome(it, ticket, isClaiming) }
+
+    private suspend fun askHome(home: HostId, ticket: Ticket, isClaiming: Boolean): HostId? {
         val call = CallId(lastCall.incrementAndGet())
         val answer = CompletableDeferred<HostId?>()
         owners[call] = answer
@@ -109,6 +114,13 @@
             owners -= call
         }
     }
+
+    /** Tells the last home that this host owns [ticket]; nobody waits for its answer. */
+    private fun noteAtLastHome(ticket: Ticket) {
+        val call = CallId(lastCall.incrementAndGet())
+        val note = PeerMessage.OwnerQuestion(call, ticket.team, ticket.request, isClaiming = true)
+        send(homesOf(ticket, hosts()).last(), note)
+    }
 }
 
 private fun reportOf(task: RequestTask?): RequestReport {
--- a/daemon/src/main/kotlin/io/primroseflow/daemon/request/RequestDirectory.kt
+++ b/daemon/src/main/kotlin/io/primroseflow/daemon/request/RequestDirectory.kt
@@ -49,9 +49,13 @@
     }
 }
 
-/** Returns the home of [ticket] among [hosts]: the same at every host with the same list. */
-internal fun homeOf(ticket: Ticket, hosts: Collection<HostId>): HostId =
-    hosts.maxWith(compareBy({ weightOf(ticket, it) }, { it.value }))
+/** Homes of one request: the second knows the owner when the first is lost. */
+private const val HOMES = 2
+
+/** Returns the homes of [ticket] among [hosts]: the same at every host with the same list. */
+internal fun homesOf(ticket: Ticket, hosts: Collection<HostId>): List<HostId> = hosts
+    .sortedWith(compareByDescending<HostId> { weightOf(ticket, it) }.thenBy { it.value })
+    .take(HOMES)
 
 private fun weightOf(ticket: Ticket, host: HostId): Long {
     val crc = CRC32()
