Run on the users' platform: entry hosts, control hosts, one shared scheduler

Cause: the platform's callers, targets and operators speak in a way that no process of ours understood, and the product had no routes, no membership without a list of peers, and slots divided by fixed shares. Ruled out: deciding at each host alone (13 slots over 9 hosts leave one slot each and mix the tiers).

--- a/core/src/main/kotlin/io/primroseflow/consensus/LeaderDuties.kt
+++ b/core/src/main/kotlin/io/primroseflow/consensus/LeaderDuties.kt
@@ -61,6 +61,11 @@
         advanceCommit()
     }
 
+    /** Returns what this leader knows of the members other than itself. */
+    fun memberViews(): Map<HostId, MemberView> = (membership.all - id).associateWith {
+        MemberView(leading.heardAtOrNull(it), isCaughtUp = leading.matchOf(it) >= commitIndex)
+    }
+
     /** Lets time pass; returns `false` when the replica must not lead any longer. */
     fun tick(now: Instant): Boolean {
         val since = now - settings.electionTimeout
--- a/core/src/main/kotlin/io/primroseflow/consensus/Leadership.kt
+++ b/core/src/main/kotlin/io/primroseflow/consensus/Leadership.kt
@@ -93,6 +93,8 @@
 
     fun matchOf(peer: HostId): LogIndex = progress[peer]?.match ?: LogIndex.ZERO
 
+    fun heardAtOrNull(peer: HostId): Instant? = progress[peer]?.heardAt
+
     /** Tells whether [peer] was heard of after [since]. */
     fun isRecent(peer: HostId, since: Instant): Boolean =
         progress[peer]?.let { it.heardAt > since } ?: false
--- a/core/src/main/kotlin/io/primroseflow/consensus/Replica.kt
+++ b/core/src/main/kotlin/io/primroseflow/consensus/Replica.kt
@@ -140,6 +140,9 @@
     /** The members according to the latest entry, committed or not. */
     public val membership: Membership get() = log.membership()
 
+    /** What the other members do, `null` unless this replica leads. */
+    public val memberViews: Map<HostId, MemberView>? get() = leading?.memberViews()
+
     /** Lets time pass. */
     public fun tick(now: Instant) {
         val duties = leading
--- a/core/src/main/kotlin/io/primroseflow/control/ControlCommands.kt
+++ b/core/src/main/kotlin/io/primroseflow/control/ControlCommands.kt
@@ -91,6 +91,15 @@
         val expected: PolicyRevision,
         val source: PolicySource
     ) : ControlCommand
+
+    /** Puts a policy in force when [revision] is higher than the one in force. */
+    @Serializable
+    public data class RaisePolicy(
+        override val atMillis: Long,
+        val author: String,
+        val revision: PolicyRevision,
+        val source: PolicySource
+    ) : ControlCommand
 }
 
 /** The answer of the control state to a command. */
--- a/core/src/main/kotlin/io/primroseflow/control/ControlState.kt
+++ b/core/src/main/kotlin/io/primroseflow/control/ControlState.kt
@@ -43,6 +43,7 @@
         is ControlCommand.Claim -> claims.claim(command)
         is ControlCommand.RecordEnd -> claims.recordEnd(command)
         is ControlCommand.ApplyPolicy -> policies.apply(command)
+        is ControlCommand.RaisePolicy -> policies.raise(command)
     }
 
     /** Returns this state as the bytes of a snapshot. */
--- a/core/src/main/kotlin/io/primroseflow/control/PolicyRegister.kt
+++ b/core/src/main/kotlin/io/primroseflow/control/PolicyRegister.kt
@@ -53,6 +53,23 @@
         return answer
     }
 
+    /**
+     * Puts the policy of [command] in force when its revision is the highest so far. A lower or
+     * equal one is answered with the revision in force and changes nothing.
+     */
+    fun raise(command: ControlCommand.RaisePolicy): ControlAnswer {
+        val inForce = current?.head?.revision ?: PolicyRevision.NONE
+        if (command.revision <= inForce) return ControlAnswer.PolicyAccepted(inForce)
+        val head = PolicyHead(
+            revision = command.revision,
+            operation = OperationId("raise-${command.revision}"),
+            author = command.author,
+            atMillis = command.atMillis
+        )
+        add(AcceptedPolicy(head, command.source))
+        return ControlAnswer.PolicyAccepted(head.revision)
+    }
+
     fun toImage(): PolicyRegisterImage = PolicyRegisterImage(
         policies = policies.toList(),
         heads = heads.toList(),
@@ -71,10 +88,14 @@
             author = command.author,
             atMillis = command.atMillis
         )
-        policies += AcceptedPolicy(head, command.source)
-        heads += head
+        add(AcceptedPolicy(head, command.source))
+        return ControlAnswer.PolicyAccepted(head.revision)
+    }
+
+    private fun add(policy: AcceptedPolicy) {
+        policies += policy
+        heads += policy.head
         if (policies.size > KEPT_TEXTS) policies.removeFirst()
         if (heads.size > KEPT_HEADS) heads.removeFirst()
-        return ControlAnswer.PolicyAccepted(head.revision)
     }
 }
--- /dev/null
+++ b/core/src/main/kotlin/io/primroseflow/fleet/FleetScheduler.kt
@@ -0,0 +1,326 @@
+package io.primroseflow.fleet
+
+import io.primroseflow.limits.TokenBucket
+import io.primroseflow.model.HostId
+import io.primroseflow.model.TargetId
+import io.primroseflow.model.TeamId
+import io.primroseflow.routing.RoutedPolicy
+import io.primroseflow.routing.RoutedService
+import io.primroseflow.routing.ServiceId
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Instant
+
+/** Weight of the newest sample in a moving average. */
+private const val PACE_WEIGHT = 0.05
+
+/** Shortest time after which a refused caller may come back. */
+private val MIN_RETRY_AFTER: Duration = 100.milliseconds
+
+/** Time after which a grant that its host does not know of is sent again. */
+private val GRANT_LOST_AFTER: Duration = 400.milliseconds
+
+/** Wishes that are looked at behind the first one when no target fits that. */
+private const val LOOK_AHEAD = 8
+
+/**
+ * The part of the fleet that a scheduler deals out.
+ *
+ * @property hosts hosts that deal out the same slots and quotas independently of each other
+ */
+public data class FleetShare(val hosts: Int = 1) {
+    init {
+        require(hosts >= 1) { "hosts must be at least 1, was $hosts" }
+    }
+
+    internal fun slotsOf(target: FleetTarget): Int =
+        if (hosts == 1) target.slots else (target.slots + hosts - 1) / hosts
+}
+
+/** Gauges of one scheduler. */
+public data class FleetStatus(val waiting: Int, val running: Int, val targets: Int)
+
+/** What a host reports to hold: for each slot its wish and target. */
+public data class HeldSlot(val wish: SlotWish, val target: TargetId)
+
+/**
+ * Deals out the slots of all targets, and the quotas of the teams, to the requests of all hosts.
+ *
+ * A pure state machine: messages in, [SlotDecision]s out, time passed in. Not safe for use by
+ * several tasks. Its state is soft: [reconcile] rebuilds it from what the hosts report, so a new
+ * scheduler takes over without loss. The same machine deals out one host's share when no shared
+ * scheduler is in reach.
+ */
+public class FleetScheduler(private var share: FleetShare = FleetShare()) {
+    private class Running(val wish: SlotWish, val target: TargetId, val since: Instant)
+
+    private class ServiceState {
+        val targets = ServiceTargets()
+        val queue = WishQueue()
+
+        /** Time that requests hold a slot, as a multiple of what was expected. */
+        var pace = 1.0
+
+        /** Mean time of a call of a plain service. */
+        var plainMillis = TargetState.PLAIN_MILLIS
+    }
+
+    private val services = HashMap<ServiceId, ServiceState>()
+    private val running = HashMap<SlotTicket, Running>()
+    private val quotas = HashMap<TeamId, TokenBucket>()
+    private var quotaPart = 1.0
+    private var listed: List<FleetTarget> = emptyList()
+    private var known: Map<ServiceId, RoutedService> = emptyMap()
+    private var policy: RoutedPolicy? = null
+
+    /** Takes over [policy]: services, teams and their quotas. */
+    public fun updatePolicy(policy: RoutedPolicy, now: Instant) {
+        this.policy = policy
+        known = policy.services
+        quotas.keys.retainAll(policy.teams.keys)
+        for (team in policy.teams.values) {
+            val quota = team.quota
+            if (quota == null) {
+                quotas.remove(team.id)
+                continue
+            }
+            val rate = quota.perSecond * quotaPart / share.hosts
+            val burst = quota.burst / share.hosts
+            val bucket = quotas.getOrPut(team.id) { TokenBucket(rate, burst, now) }
+            bucket.reconfigure(rate, burst, now)
+        }
+        applyTargets()
+    }
+
+    /** Takes over the list of [targets] and grants what became possible. */
+    public fun updateTargets(targets: List<FleetTarget>, now: Instant): List<SlotDecision> {
+        listed = targets
+        applyTargets()
+        return services.values.flatMap { grantAll(it, now) }
+    }
+
+    /** Changes the part of the fleet that this scheduler deals out. */
+    public fun updateShare(share: FleetShare, now: Instant) {
+        if (share == this.share) return
+        this.share = share
+        policy?.let { updatePolicy(it, now) }
+    }
+
+    /** Starts with [part] of each burst, since an earlier scheduler may have dealt it out. */
+    public fun limitQuotas(part: Double, now: Instant) {
+        quotas.values.forEach { it.limit(part, now) }
+    }
+
+    /** Deals out [part] of the quotas; hosts that are out of reach may use the rest. */
+    public fun updateQuotaPart(part: Double, now: Instant) {
+        if (part == quotaPart) return
+        quotaPart = part
+        policy?.let { updatePolicy(it, now) }
+    }
+
+    /** Queues [wish], grants it a slot at once, or refuses it when it cannot be served. */
+    public fun submit(wish: SlotWish, now: Instant): List<SlotDecision> {
+        if (wish.ticket in running) return emptyList()
+        val service = stateOf(wish.service)
+        if (wish.ticket in service.queue) return emptyList()
+        val bucket = wish.team?.let { quotas[it] }
+        if (bucket != null && wish.cost > 0 && !bucket.tryTake(wish.cost.toDouble(), now)) {
+            val wait = bucket.waitFor(wish.cost.toDouble(), now)
+            return listOf(refusal(wish, SlotRefusal.OverQuota, wait))
+        }
+        val refusal = hopelessOrNull(service, wish, now)
+        if (refusal != null) {
+            bucket?.putBack(wish.cost.toDouble())
+            return listOf(refusal)
+        }
+        service.queue.add(wish, nominalMillis(service, wish) * service.pace)
+        return grantAll(service, now)
+    }
+
+    /** Takes the wish of [ticket] back; its request has ended or waits no longer. */
+    public fun withdraw(ticket: SlotTicket, now: Instant): List<SlotDecision> {
+        for (service in services.values) {
+            val wish = service.queue.remove(ticket) ?: continue
+            wish.team?.let { quotas[it] }?.putBack(wish.cost.toDouble())
+        }
+        return if (ticket in running) ended(ticket, SlotEnd.Cancelled, now) else emptyList()
+    }
+
+    /** Frees the slot of [ticket]. */
+    public fun ended(ticket: SlotTicket, end: SlotEnd, now: Instant): List<SlotDecision> {
+        val done = running.remove(ticket) ?: return emptyList()
+        val service = stateOf(done.wish.service)
+        val target = service.targets.findOrNull(done.target)
+        target?.release(done.wish)
+        when (end) {
+            is SlotEnd.Served -> learn(service, target, done.wish, end)
+            is SlotEnd.NotRun -> if (end.isUnreachable) target?.onFailure(true, now)
+            SlotEnd.Failed -> target?.onFailure(false, now)
+            SlotEnd.Cancelled -> Unit
+        }
+        return grantAll(service, now)
+    }
+
+    /** Takes over what [host] says of its requests, which is right where this state differs. */
+    public fun reconcile(
+        host: HostId,
+        held: List<HeldSlot>,
+        waiting: List<SlotWish>,
+        now: Instant
+    ): List<SlotDecision> {
+        val decisions = ArrayList<SlotDecision>()
+        val heldTickets = held.mapTo(HashSet()) { it.wish.ticket }
+        val waitingTickets = waiting.mapTo(HashSet()) { it.ticket }
+        for ((ticket, slot) in running.filterKeys { it.host == host }) {
+            when {
+                ticket in heldTickets -> Unit
+
+                ticket !in waitingTickets -> decisions += ended(ticket, SlotEnd.Cancelled, now)
+
+                now - slot.since > GRANT_LOST_AFTER -> {
+                    val target = stateOf(slot.wish.service).targets.findOrNull(slot.target)
+                    target?.let { decisions += SlotDecision.Grant(ticket, it.target) }
+                }
+            }
+        }
+        for (service in services.values) {
+            service.queue.all.filter { it.ticket.host == host && it.ticket !in waitingTickets }
+                .forEach { service.queue.remove(it.ticket) }
+        }
+        held.filter { it.wish.ticket !in running }.forEach { adopt(it, now) }
+        waiting.forEach { decisions += submit(it.copy(cost = 0), now) }
+        return decisions
+    }
+
+    /** Forgets all requests of [host]; its process has ended or cannot be reached. */
+    public fun forgetHost(host: HostId, now: Instant): List<SlotDecision> =
+        reconcile(host, emptyList(), emptyList(), now)
+
+    /** Refuses waiting wishes that can no longer be in time, and grants what became possible. */
+    public fun tick(now: Instant): List<SlotDecision> {
+        val decisions = ArrayList<SlotDecision>()
+        for (service in services.values) {
+            for (wish in service.queue.all) {
+                val refusal = lostOrNull(service, wish, now) ?: continue
+                service.queue.remove(wish.ticket)
+                wish.team?.let { quotas[it] }?.putBack(wish.cost.toDouble())
+                decisions += refusal
+            }
+            decisions += grantAll(service, now)
+        }
+        return decisions
+    }
+
+    /** Returns the gauges of this scheduler. */
+    public fun status(): FleetStatus = FleetStatus(
+        waiting = services.values.sumOf { it.queue.size },
+        running = running.size,
+        targets = services.values.sumOf { it.targets.all.size }
+    )
+
+    private fun stateOf(id: ServiceId) = services.getOrPut(id) { ServiceState() }
+
+    private fun applyTargets() {
+        val byService = listed.groupBy { it.service }
+        for (id in services.keys + byService.keys) {
+            val state = stateOf(id)
+            state.targets.kvTokens = known[id]?.kvTokens
+            state.targets.update(byService[id].orEmpty(), share::slotsOf)
+        }
+    }
+
+    private fun adopt(slot: HeldSlot, now: Instant) {
+        val service = stateOf(slot.wish.service)
+        service.queue.remove(slot.wish.ticket)
+        service.targets.findOrNull(slot.target)?.start(slot.wish)
+        running[slot.wish.ticket] = Running(slot.wish, slot.target, now)
+    }
+
+    private fun grantAll(service: ServiceState, now: Instant): List<SlotDecision> {
+        val grants = ArrayList<SlotDecision>()
+        while (true) {
+            val first = service.queue.firstOrNull(now) ?: break
+            val choice = service.targets.chooseOrNull(first, now)?.let { first to it }
+                ?: nextFitting(service, now)
+                ?: break
+            val (wish, target) = choice
+            service.queue.remove(wish.ticket)
+            target.start(wish)
+            running[wish.ticket] = Running(wish, target.target.id, now)
+            grants += SlotDecision.Grant(wish.ticket, target.target)
+        }
+        return grants
+    }
+
+    /** Finds work behind a first wish that only excluded targets could take. */
+    private fun nextFitting(service: ServiceState, now: Instant): Pair<SlotWish, TargetState>? {
+        val first = service.queue.firstOrNull(now) ?: return null
+        if (first.excluded.isEmpty()) return null
+        for (wish in service.queue.inOrder(now).drop(1).take(LOOK_AHEAD)) {
+            service.targets.chooseOrNull(wish, now)?.let { return wish to it }
+        }
+        return null
+    }
+
+    private fun learn(
+        service: ServiceState,
+        target: TargetState?,
+        wish: SlotWish,
+        end: SlotEnd.Served
+    ) {
+        val actual = end.totalMillis.toDouble()
+        if (!wish.isStream) {
+            service.plainMillis += PACE_WEIGHT * (actual - service.plainMillis)
+        }
+        val nominal = if (wish.isStream) {
+            wish.promptTokens * PREFILL_MILLIS + end.outputTokens * DECODE_MILLIS
+        } else {
+            service.plainMillis
+        }
+        target?.onSuccess()
+        target?.learnSpeed(actual, nominal)
+        val ratio = actual / nominal.coerceAtLeast(1.0)
+        service.pace += PACE_WEIGHT * (ratio - service.pace)
+    }
+
+    private fun nominalMillis(service: ServiceState, wish: SlotWish): Double =
+        if (wish.isStream) {
+            wish.promptTokens * PREFILL_MILLIS + wish.outputTokens * DECODE_MILLIS
+        } else {
+            service.plainMillis
+        }
+
+    private fun hopelessOrNull(
+        service: ServiceState,
+        wish: SlotWish,
+        now: Instant
+    ): SlotDecision? {
+        if (service.targets.all.none { !it.target.isLeaving }) {
+            return refusal(wish, SlotRefusal.NoTarget, NO_TARGET_RETRY)
+        }
+        val wait = expectedWait(service, wish, now)
+        val service0 = nominalMillis(service, wish).milliseconds
+        if (now + wait + service0 <= wish.deadline) return null
+        return refusal(wish, SlotRefusal.TooLate, wait)
+    }
+
+    private fun lostOrNull(service: ServiceState, wish: SlotWish, now: Instant): SlotDecision? {
+        val least = nominalMillis(service, wish).milliseconds
+        if (now + least <= wish.deadline) return null
+        return refusal(wish, SlotRefusal.TooLate, expectedWait(service, wish, now))
+    }
+
+    /** Returns the time until a slot is free for [wish], behind all work that goes before it. */
+    private fun expectedWait(service: ServiceState, wish: SlotWish, now: Instant): Duration {
+        val slots = service.targets.usableSlots(now).coerceAtLeast(1)
+        return (service.queue.workAtOrAbove(wish.rank) / slots).milliseconds
+    }
+
+    private fun refusal(wish: SlotWish, reason: SlotRefusal, wait: Duration): SlotDecision =
+        SlotDecision.Refuse(wish.ticket, reason, maxOf(wait, MIN_RETRY_AFTER))
+
+    private companion object {
+        /** Time after which a service without targets is worth another try. */
+        val NO_TARGET_RETRY: Duration = 500.milliseconds
+    }
+}
--- a/daemon/src/main/kotlin/io/primroseflow/daemon/control/ControlPlane.kt
+++ b/daemon/src/main/kotlin/io/primroseflow/daemon/control/ControlPlane.kt
@@ -23,6 +23,7 @@
 import kotlin.time.Duration.Companion.seconds
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.launch
+import org.apache.logging.log4j.LogManager
 
 private val CONFIRM_TIMEOUT: Duration = 3.seconds
 
@@ -46,10 +47,11 @@
     storage: ReplicaStorage?,
     private val random: Random
 ) {
+    private val log = LogManager.getLogger(ControlPlane::class.java)
     private val self = settings.host
     private val peers = settings.peers.associateBy { it.host }
     private val isConfirming = AtomicBoolean()
-    private val links = PeerLinks(self, scope, clock, hybridClock, ::handle)
+    private val links = PeerLinks(self, scope, clock, hybridClock, handler = ::handle)
     private val replica: ReplicaTask? = storage?.let {
         val initial = Membership(settings.replicas.toSet())
         ReplicaTask(self, initial, it, clock, Listener(), random)
@@ -144,6 +146,10 @@
                 links.send(from, PeerMessage.HistoryAnswer(hasHistory()))
 
             is PeerMessage.HistoryAnswer -> replica?.onHistory(from, message.hasHistory)
+
+            // Hosts with a fixed list of peers neither share a scheduler nor take in members.
+            is PeerMessage.Scheduling, PeerMessage.JoinRequest ->
+                log.debug("unexpected message of {}: {}", from, message)
         }
     }
 
--- a/daemon/src/main/kotlin/io/primroseflow/daemon/control/ReplicaTask.kt
+++ b/daemon/src/main/kotlin/io/primroseflow/daemon/control/ReplicaTask.kt
@@ -3,7 +3,9 @@
 import io.primroseflow.consensus.CommandBytes
 import io.primroseflow.consensus.Effects
 import io.primroseflow.consensus.EntryContent
+import io.primroseflow.consensus.GroupPlan
 import io.primroseflow.consensus.HardState
+import io.primroseflow.consensus.Joiner
 import io.primroseflow.consensus.LogEntry
 import io.primroseflow.consensus.LogIndex
 import io.primroseflow.consensus.MemberChange
@@ -25,6 +27,7 @@
 import io.primroseflow.daemon.peer.ControlQuery
 import io.primroseflow.daemon.peer.ControlReply
 import io.primroseflow.daemon.peer.GroupChange
+import io.primroseflow.daemon.peer.machine
 import io.primroseflow.daemon.storage.ReplicaStorage
 import io.primroseflow.model.HostId
 import java.io.IOException
@@ -32,6 +35,8 @@
 import kotlin.time.Clock
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+import kotlin.time.Instant
 import kotlinx.coroutines.Dispatchers
 import kotlinx.coroutines.channels.Channel
 import kotlinx.coroutines.delay
@@ -44,6 +49,13 @@
     class Query(val query: ControlQuery, val onReply: (ControlReply) -> Unit) : ReplicaTaskMessage
     data object HandOver : ReplicaTaskMessage
     class History(val from: HostId, val hasHistory: Boolean) : ReplicaTaskMessage
+    class Join(val joiner: Joiner) : ReplicaTaskMessage
+}
+
+/** Why a replica has ended by itself. */
+internal enum class ReplicaEnd {
+    /** The folder is empty though the group has history: the replica needs a new name. */
+    DiskLost
 }
 
 /** Time between two ticks of a replica. */
@@ -58,6 +70,12 @@
 /** Time between the certainty that nothing was lost and the first part in an election. */
 private val BIRTH_PAUSE: Duration = 600.milliseconds
 
+/** Time between two looks at the members of the group. */
+private val PLAN_INTERVAL: Duration = 200.milliseconds
+
+/** Time after which a joiner that asks no longer is forgotten. */
+private val JOINER_KEPT: Duration = 10.seconds
+
 /** Messages handled before their effects are made durable together. */
 private const val MAX_BATCH = 1_024
 
@@ -92,6 +110,9 @@
  *
  * Everything that arrives while a write is under way is handled together after it, so that one
  * write to the disk serves many commands.
+ *
+ * @param plan keeps the group at its size while this replica leads; without one, the group
+ *   changes by the orders of operators only
  */
 internal class ReplicaTask(
     private val self: HostId,
@@ -99,7 +120,8 @@
     private val storage: ReplicaStorage,
     private val clock: Clock,
     private val listener: ReplicaListener,
-    random: Random
+    random: Random,
+    private val plan: GroupPlan? = null
 ) {
     private class PendingCommand(val term: Term, val onReply: (ControlReply) -> Unit)
 
@@ -112,6 +134,8 @@
     private val commands = HashMap<LogIndex, PendingCommand>()
     private val reads = HashMap<ReadId, PendingRead>()
     private val grants = ArrayList<ReadGrant>()
+    private val joiners = HashMap<HostId, Joiner>()
+    private var plannedAt = Instant.DISTANT_PAST
     private var state = restoredState()
     private var applied = storage.restored.snapshot?.head?.index ?: LogIndex.ZERO
     private var lastRead = 0L
@@ -144,14 +168,19 @@
         mailbox.trySend(ReplicaTaskMessage.History(from, hasHistory))
     }
 
+    /** Hands in that the replica of [from] asks to belong to the group. */
+    fun onJoin(from: HostId) {
+        mailbox.trySend(ReplicaTaskMessage.Join(Joiner(from, from.machine(), clock.now())))
+    }
+
     /** Asks the task to hand leadership over, when it leads. */
     fun handOver() {
         mailbox.trySend(ReplicaTaskMessage.HandOver)
     }
 
-    /** Runs until cancelled. */
-    suspend fun run() {
-        if (isNewborn) awaitBirth()
+    /** Runs until cancelled, or until it is certain that the replica cannot go on. */
+    suspend fun run(): ReplicaEnd {
+        if (isNewborn && !awaitBirth()) return ReplicaEnd.DiskLost
         state.policy?.let(listener::onPolicy)
         while (true) {
             val first = withTimeoutOrNull(TICK) { mailbox.receive() }
@@ -162,6 +191,7 @@
                 count++
             }
             replica.tick(clock.now())
+            changeGroupIfDue()
             carryOut()
             snapshotIfDue()
             noteStatus()
@@ -172,8 +202,10 @@
      * Waits until it is certain that this replica never voted before. A voter whose folder is
      * empty may have lost its disk; it must not vote again under the same name. So it takes part
      * only when all other voters are new too, or when it is no voter.
+     *
+     * @return `false` when the group has history, and may be joined under a new name
      */
-    private suspend fun awaitBirth() {
+    private suspend fun awaitBirth(): Boolean {
         val others = initial.voters - self
         val fresh = HashSet<HostId>()
         while (self in initial.voters && !fresh.containsAll(others)) {
@@ -182,20 +214,38 @@
             if (answer is ReplicaTaskMessage.Query) answer.onReply(ControlReply.NotLeader(null))
             if (answer !is ReplicaTaskMessage.History) continue
             if (!answer.hasHistory) fresh += answer.from else noteLostDisk(answer.from)
+            if (isDiskLost && plan != null) return false
         }
         // The others must hear that this replica has no history before it can get any.
         delay(BIRTH_PAUSE)
         withContext(Dispatchers.IO) { storage.append(HardState(), emptyList()) }
         isNewborn = false
+        return true
+    }
+
+    /** Takes the next step towards the planned group, when this replica leads. */
+    private fun changeGroupIfDue() {
+        val now = clock.now()
+        val views = replica.memberViews
+        if (plan == null || views == null || now - plannedAt < PLAN_INTERVAL) return
+        plannedAt = now
+        joiners.values.removeIf { now - it.heardAt > JOINER_KEPT }
+        val step = plan.nextOrNull(replica.membership, views, joiners.values, now) ?: return
+        val result = replica.change(step)
+        if (result is Proposal.Accepted) log.info("the group of replicas changes: {}", step)
     }
 
     private fun noteLostDisk(witness: HostId) {
         if (isDiskLost) return
         isDiskLost = true
         log.error(
-            "the data folder is empty but the group has history according to {}; " +
-                "remove this host from the group and add it again",
-            witness
+            "the data folder is empty but the group has history according to {}; {}",
+            witness,
+            if (plan == null) {
+                "remove this host from the group and add it again"
+            } else {
+                "this host joins the group under a new name"
+            }
         )
     }
 
@@ -208,6 +258,8 @@
 
             ReplicaTaskMessage.HandOver -> replica.transfer(clock.now())
 
+            is ReplicaTaskMessage.Join -> joiners[message.joiner.host] = message.joiner
+
             is ReplicaTaskMessage.History -> Unit
         }
     }
--- a/daemon/src/main/kotlin/io/primroseflow/daemon/peer/PeerLinks.kt
+++ b/daemon/src/main/kotlin/io/primroseflow/daemon/peer/PeerLinks.kt
@@ -69,12 +69,15 @@
  *
  * Each host dials the hosts that it sends to; a connection carries messages one way. Both sides
  * notice a connection that has gone silent by heartbeats, and the dialling side opens a new one.
+ *
+ * @param resolve finds hosts that have no address set by [updateAddresses]
  */
 internal class PeerLinks(
     private val self: HostId,
     private val scope: CoroutineScope,
     private val clock: Clock,
     private val hybridClock: HybridClock,
+    private val resolve: (HostId) -> PeerAddress? = { null },
     private val handler: PeerHandler
 ) : AutoCloseable {
     private val log = LogManager.getLogger(PeerLinks::class.java)
@@ -130,7 +133,7 @@
     private suspend fun maintain(to: HostId, link: PeerLink) {
         while (true) {
             link.awaitMessage()
-            val address = addresses[to]
+            val address = addresses[to] ?: resolve(to)
             if (address == null) {
                 link.drain()
                 continue
@@ -231,20 +234,26 @@
         if (hello.version != PROTOCOL_VERSION) {
             throw PeerProtocolException("${hello.from} has protocol version ${hello.version}")
         }
-        if (hello.to != self) throw PeerProtocolException("${hello.from} wants ${hello.to}")
+        if (hello.to.machine() != self.machine()) {
+            throw PeerProtocolException("${hello.from} wants ${hello.to}")
+        }
         hybridClock.observe(hello.at)
         while (true) {
             val frame = readFrameInTime(input, IDLE_LIMIT + SILENCE_LIMIT)
-            receive(hello.from, frame)
+            receive(hello, frame)
             if (frame is PeerFrame.Ping) write(output, PeerFrame.Pong(frame.number))
         }
     }
 
-    private fun receive(from: HostId, frame: PeerFrame) {
+    private fun receive(hello: PeerFrame.Hello, frame: PeerFrame) {
         if (frame !is PeerFrame.Batch) return
         hybridClock.observe(frame.at)
         traffic.receivedMessages.addAndGet(frame.messages.size.toLong())
-        frame.messages.forEach { handler.handle(from, it) }
+        for (message in frame.messages) {
+            // A replica that lost its disk has a new name, and must not answer under the old one.
+            if (message is PeerMessage.Replication && hello.to != self) continue
+            handler.handle(hello.from, message)
+        }
     }
 }
 
--- a/daemon/src/main/kotlin/io/primroseflow/daemon/peer/PeerMessages.kt
+++ b/daemon/src/main/kotlin/io/primroseflow/daemon/peer/PeerMessages.kt
@@ -8,6 +8,9 @@
 import io.primroseflow.control.PolicyHead
 import io.primroseflow.control.PolicyRevision
 import io.primroseflow.daemon.request.HeaderField
+import io.primroseflow.fleet.FleetTarget
+import io.primroseflow.fleet.SlotEnd
+import io.primroseflow.fleet.SlotRefusal
 import io.primroseflow.membership.MemberNews
 import io.primroseflow.model.CallerId
 import io.primroseflow.model.HostId
@@ -192,6 +195,104 @@
     @SerialName("old")
     data class HistoryAnswer(val hasHistory: Boolean) : PeerMessage
 
+    /** A message between an entry host and the scheduler that all hosts share. */
+    @Serializable
+    sealed interface Scheduling : PeerMessage
+
+    /**
+     * What an entry host knows and holds; sent regularly, and at once to a new scheduler.
+     *
+     * @property number grows with every report of the host
+     * @property policy revision in force at the host
+     * @property fleet version of the list of targets at the host
+     */
+    @Serializable
+    @SerialName("rpt")
+    data class HostReport(
+        @SerialName("n") val number: Long,
+        @SerialName("t") val term: Long,
+        @SerialName("p") val policy: PolicyRevision,
+        @SerialName("f") val fleet: Long,
+        @SerialName("h") val held: List<HeldRecord>,
+        @SerialName("w") val waiting: List<WishRecord>
+    ) : Scheduling
+
+    /**
+     * Confirms the report of [number]: a quorum has confirmed that [policy] is the latest.
+     *
+     * @property hosts entry hosts that the scheduler knows of
+     */
+    @Serializable
+    @SerialName("rpy")
+    data class ReportReply(
+        @SerialName("n") val number: Long,
+        @SerialName("t") val term: Long,
+        @SerialName("p") val policy: PolicyRevision,
+        @SerialName("c") val replicas: List<HostId>,
+        @SerialName("k") val hosts: Int
+    ) : Scheduling
+
+    /** The receiver of a report does not schedule; [leader] is the host that may. */
+    @Serializable
+    @SerialName("hint")
+    data class LeaderHint(
+        @SerialName("l") val leader: HostId?,
+        @SerialName("c") val replicas: List<HostId>
+    ) : Scheduling
+
+    /** A request wants a slot. */
+    @Serializable
+    @SerialName("wsh")
+    data class Wish(@SerialName("t") val term: Long, @SerialName("w") val wish: WishRecord) :
+        Scheduling
+
+    /** A slot is free again. */
+    @Serializable
+    @SerialName("fin")
+    data class SlotEnded(
+        @SerialName("t") val term: Long,
+        @SerialName("n") val ticket: Long,
+        @SerialName("e") val end: SlotEnd
+    ) : Scheduling
+
+    /** A request waits no longer. */
+    @Serializable
+    @SerialName("wdr")
+    data class Withdrawal(@SerialName("t") val term: Long, @SerialName("n") val ticket: Long) :
+        Scheduling
+
+    /** The request of [ticket] may be sent to [target]. */
+    @Serializable
+    @SerialName("gra")
+    data class SlotGranted(
+        @SerialName("t") val term: Long,
+        @SerialName("n") val ticket: Long,
+        @SerialName("g") val target: FleetTarget
+    ) : Scheduling
+
+    /** The request of [ticket] is given up. */
+    @Serializable
+    @SerialName("rfs")
+    data class SlotRefused(
+        @SerialName("t") val term: Long,
+        @SerialName("n") val ticket: Long,
+        @SerialName("r") val reason: SlotRefusal,
+        @SerialName("a") val retryAfterMillis: Long
+    ) : Scheduling
+
+    /** The list of targets in [version]. */
+    @Serializable
+    @SerialName("flt")
+    data class FleetNews(
+        @SerialName("v") val version: Long,
+        @SerialName("t") val targets: List<FleetTarget>
+    ) : Scheduling
+
+    /** The sender keeps a control replica and asks to belong to the group. */
+    @Serializable
+    @SerialName("join")
+    data object JoinRequest : PeerMessage
+
     /** News of hosts, spread from host to host. */
     @Serializable
     @SerialName("gos")
--- /dev/null
+++ b/daemon/src/main/kotlin/io/primroseflow/daemon/peer/SchedulingRecords.kt
@@ -0,0 +1,89 @@
+package io.primroseflow.daemon.peer
+
+import io.primroseflow.fleet.HeldSlot
+import io.primroseflow.fleet.PromptPart
+import io.primroseflow.fleet.SlotTicket
+import io.primroseflow.fleet.SlotWish
+import io.primroseflow.model.DataCentreId
+import io.primroseflow.model.HostId
+import io.primroseflow.model.TargetId
+import io.primroseflow.model.TeamId
+import io.primroseflow.routing.RouteId
+import io.primroseflow.routing.ServiceId
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Instant
+import kotlinx.serialization.SerialName
+import kotlinx.serialization.Serializable
+
+/**
+ * A [SlotWish] between hosts, whose clocks differ: times are counted from the sending.
+ *
+ * @property goalMillis time left until the answer should begin, negative when it has passed
+ */
+@Serializable
+internal data class WishRecord(
+    @SerialName("n") val ticket: Long,
+    @SerialName("s") val service: ServiceId,
+    @SerialName("r") val route: RouteId,
+    @SerialName("m") val team: TeamId?,
+    @SerialName("z") val dataCentre: DataCentreId,
+    @SerialName("k") val rank: Int,
+    @SerialName("c") val cost: Long,
+    @SerialName("e") val isStream: Boolean,
+    @SerialName("i") val promptTokens: Int,
+    @SerialName("o") val outputTokens: Int,
+    @SerialName("p") val parts: List<PromptPart>,
+    @SerialName("x") val excluded: Set<TargetId>,
+    @SerialName("a") val agedMillis: Long,
+    @SerialName("g") val goalMillis: Long,
+    @SerialName("d") val deadlineMillis: Long
+)
+
+/** A slot that a host holds. */
+@Serializable
+internal data class HeldRecord(
+    @SerialName("w") val wish: WishRecord,
+    @SerialName("t") val target: TargetId
+)
+
+/** Returns this wish as it is sent at [now]. */
+internal fun SlotWish.toRecord(now: Instant): WishRecord = WishRecord(
+    ticket = ticket.number,
+    service = service,
+    route = route,
+    team = team,
+    dataCentre = dataCentre,
+    rank = rank,
+    cost = cost,
+    isStream = isStream,
+    promptTokens = promptTokens,
+    outputTokens = outputTokens,
+    parts = parts,
+    excluded = excluded,
+    agedMillis = (now - arrivedAt).inWholeMilliseconds,
+    goalMillis = (goal - now).inWholeMilliseconds,
+    deadlineMillis = (deadline - now).inWholeMilliseconds
+)
+
+/** Returns the wish that [host] sent, received at [now]. */
+internal fun WishRecord.toWish(host: HostId, now: Instant): SlotWish = SlotWish(
+    ticket = SlotTicket(host, ticket),
+    service = service,
+    route = route,
+    team = team,
+    dataCentre = dataCentre,
+    rank = rank,
+    cost = cost,
+    isStream = isStream,
+    promptTokens = promptTokens,
+    outputTokens = outputTokens,
+    parts = parts,
+    excluded = excluded,
+    arrivedAt = now - agedMillis.milliseconds,
+    goal = now + goalMillis.milliseconds,
+    deadline = now + deadlineMillis.milliseconds
+)
+
+/** Returns the slot that [host] holds, reported at [now]. */
+internal fun HeldRecord.toSlot(host: HostId, now: Instant): HeldSlot =
+    HeldSlot(wish.toWish(host, now), target)
--- a/daemon/src/main/kotlin/io/primroseflow/daemon/storage/ReplicaStorage.kt
+++ b/daemon/src/main/kotlin/io/primroseflow/daemon/storage/ReplicaStorage.kt
@@ -123,8 +123,13 @@
         deleteOthers(snapshot.head.index)
     }
 
-    override fun close() {
+    /** Closes the log file; the folder may be opened again. */
+    fun closeLog() {
         log.close()
+    }
+
+    override fun close() {
+        closeLog()
         folder.close()
     }
 
--- a/daemon/src/main/kotlin/io/primroseflow/daemon/target/ResponseBodies.kt
+++ b/daemon/src/main/kotlin/io/primroseflow/daemon/target/ResponseBodies.kt
@@ -4,6 +4,7 @@
 import io.ktor.utils.io.ByteReadChannel
 import io.ktor.utils.io.readAvailable
 import io.ktor.utils.io.readByte
+import io.primroseflow.daemon.http.HttpAnswerHead
 import java.io.IOException
 
 /** How the end of a response's body is recognised. */
@@ -24,17 +25,27 @@
 private val bodilessStatuses = setOf(204, 304)
 
 /** Returns how the body of this response is framed. */
-internal fun Response.bodyFraming(): BodyFraming {
-    val encodings = headers.getAll("Transfer-Encoding").map { it.toString().lowercase() }.toList()
-    val lengths = headers.getAll("Content-Length").map { it.toString() }.distinct().toList()
-    return when {
+internal fun Response.bodyFraming(): BodyFraming = bodyFraming(
+    status = status,
+    encodings = headers.getAll("Transfer-Encoding").map { it.toString().lowercase() }.toList(),
+    lengths = headers.getAll("Content-Length").map { it.toString() }.distinct().toList()
+)
+
+/** Returns how the body of the answer with this head is framed. */
+internal fun HttpAnswerHead.bodyFraming(): BodyFraming = bodyFraming(
+    status = status,
+    encodings = fields.findAll("Transfer-Encoding").map { it.lowercase() },
+    lengths = fields.findAll("Content-Length").distinct()
+)
+
+private fun bodyFraming(status: Int, encodings: List<String>, lengths: List<String>): BodyFraming =
+    when {
         status in bodilessStatuses -> BodyFraming.Sized(0)
         encodings.isEmpty() && lengths.isEmpty() -> BodyFraming.UntilClose
         encodings.isEmpty() && lengths.size == 1 -> sizedOrAmbiguous(lengths.single())
         encodings == listOf("chunked") && lengths.isEmpty() -> BodyFraming.Chunked
         else -> BodyFraming.Ambiguous
     }
-}
 
 private fun sizedOrAmbiguous(length: String): BodyFraming {
     val value = length.toLongOrNull()?.takeIf { it >= 0 }
