--- a/core/src/main/kotlin/io/primroseflow/fleet/FleetModel.kt
+++ b/core/src/main/kotlin/io/primroseflow/fleet/FleetModel.kt
@@ -41,7 +41,8 @@
  * @property rank order of service; 0 is the highest tier
  * @property cost units charged to the team's quota, 0 when it was charged before
  * @property isStream whether the answer is a series of events
- * @property outputTokens most likely length of the answer
+ * @property outputHint the caller's estimate of the answer's length, `null` without one
+ * @property outputLimit most tokens that the answer may have
  * @property parts parts of the prompt in order
  * @property excluded targets that the request was sent to before
  * @property goal time by which the answer should begin
@@ -57,7 +58,8 @@
     val cost: Long,
     val isStream: Boolean,
     val promptTokens: Int,
-    val outputTokens: Int,
+    val outputHint: Int?,
+    val outputLimit: Int,
     val parts: List<PromptPart>,
     val excluded: Set<TargetId>,
     val arrivedAt: Instant,
--- a/core/src/main/kotlin/io/primroseflow/fleet/FleetScheduler.kt
+++ b/core/src/main/kotlin/io/primroseflow/fleet/FleetScheduler.kt
@@ -4,11 +4,14 @@
 import io.primroseflow.model.HostId
 import io.primroseflow.model.TargetId
 import io.primroseflow.model.TeamId
+import io.primroseflow.routing.RouteId
 import io.primroseflow.routing.RoutedPolicy
 import io.primroseflow.routing.RoutedService
 import io.primroseflow.routing.ServiceId
+import io.primroseflow.routing.TeamQuota
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
 import kotlin.time.Instant
 
 /** Weight of the newest sample in a moving average. */
@@ -20,6 +23,15 @@
 /** Time after which a grant that its host does not know of is sent again. */
 private val GRANT_LOST_AFTER: Duration = 400.milliseconds
 
+/** Expected time of a call of a plain service before any was seen. */
+private const val FIRST_PLAIN_MILLIS = 20.0
+
+/** Expected tokens of an answer before any of its route was seen. */
+private const val FIRST_OUTPUT = 200
+
+/** Part of its expected time in which a request may turn out to be done. */
+private const val LEAST_PART = 0.3
+
 /** Wishes that are looked at behind the first one when no target fits that. */
 private const val LOOK_AHEAD = 8
 
@@ -37,6 +49,33 @@
         if (hosts == 1) target.slots else (target.slots + hosts - 1) / hosts
 }
 
+/**
+ * How far the sum over all hosts may go beyond a quota.
+ *
+ * @property window any span of this length is looked at
+ * @property ratio part of the quota that may be used on top
+ * @property units units that may be used on top
+ * @property use part of the tolerance that is used; the rest is for changes of the scheduler
+ */
+public data class QuotaTolerance(
+    val window: Duration,
+    val ratio: Double,
+    val units: Double,
+    val use: Double = 0.7
+) {
+    /** Returns the refill for which no span of [window] has more than the tolerated units. */
+    internal fun rateOf(quota: TeamQuota): Double {
+        val seconds = window / 1.seconds
+        val extra = ratio * (quota.perSecond * seconds + quota.burst) + units
+        return quota.perSecond + use * extra / seconds
+    }
+
+    public companion object {
+        /** Keeps to the quotas as they are. */
+        public val NONE: QuotaTolerance = QuotaTolerance(1.seconds, ratio = 0.0, units = 0.0)
+    }
+}
+
 /** Gauges of one scheduler. */
 public data class FleetStatus(val waiting: Int, val running: Int, val targets: Int)
 
@@ -51,8 +90,13 @@
  * scheduler takes over without loss. The same machine deals out one host's share when no shared
  * scheduler is in reach.
  */
-public class FleetScheduler(private var share: FleetShare = FleetShare()) {
-    private class Running(val wish: SlotWish, val target: TargetId, val since: Instant)
+public class FleetScheduler(
+    private var share: FleetShare = FleetShare(),
+    private val tolerance: QuotaTolerance = QuotaTolerance.NONE
+) {
+    private class Running(val work: WishWork, val target: TargetId, val since: Instant) {
+        val wish: SlotWish get() = work.wish
+    }
 
     private class ServiceState {
         val targets = ServiceTargets()
@@ -62,7 +106,10 @@
         var pace = 1.0
 
         /** Mean time of a call of a plain service. */
-        var plainMillis = TargetState.PLAIN_MILLIS
+        var plainMillis = FIRST_PLAIN_MILLIS
+
+        /** Mean length of the answers of each route, in tokens. */
+        val outputs = HashMap<RouteId, Double>()
     }
 
     private val services = HashMap<ServiceId, ServiceState>()
@@ -84,7 +131,8 @@
                 quotas.remove(team.id)
                 continue
             }
-            val rate = quota.perSecond * quotaPart / share.hosts
+            val part = quotaPart / share.hosts
+            val rate = tolerance.rateOf(quota) * part
             val burst = quota.burst / share.hosts
             val bucket = quotas.getOrPut(team.id) { TokenBucket(rate, burst, now) }
             bucket.reconfigure(rate, burst, now)
@@ -128,19 +176,20 @@
             val wait = bucket.waitFor(wish.cost.toDouble(), now)
             return listOf(refusal(wish, SlotRefusal.OverQuota, wait))
         }
-        val refusal = hopelessOrNull(service, wish, now)
+        val work = workOf(service, wish)
+        val refusal = hopelessOrNull(service, work, now)
         if (refusal != null) {
             bucket?.putBack(wish.cost.toDouble())
             return listOf(refusal)
         }
-        service.queue.add(wish, nominalMillis(service, wish) * service.pace)
+        service.queue.add(work)
         return grantAll(service, now)
     }
 
     /** Takes the wish of [ticket] back; its request has ended or waits no longer. */
     public fun withdraw(ticket: SlotTicket, now: Instant): List<SlotDecision> {
         for (service in services.values) {
-            val wish = service.queue.remove(ticket) ?: continue
+            val wish = service.queue.remove(ticket)?.wish ?: continue
             wish.team?.let { quotas[it] }?.putBack(wish.cost.toDouble())
         }
         return if (ticket in running) ended(ticket, SlotEnd.Cancelled, now) else emptyList()
@@ -151,7 +200,7 @@
         val done = running.remove(ticket) ?: return emptyList()
         val service = stateOf(done.wish.service)
         val target = service.targets.findOrNull(done.target)
-        target?.release(done.wish)
+        target?.release(done.work)
         when (end) {
             is SlotEnd.Served -> learn(service, target, done.wish, end)
             is SlotEnd.NotRun -> if (end.isUnreachable) target?.onFailure(true, now)
@@ -184,8 +233,9 @@
             }
         }
         for (service in services.values) {
-            service.queue.all.filter { it.ticket.host == host && it.ticket !in waitingTickets }
-                .forEach { service.queue.remove(it.ticket) }
+            service.queue.all.map { it.wish.ticket }
+                .filter { it.host == host && it !in waitingTickets }
+                .forEach { service.queue.remove(it) }
         }
         held.filter { it.wish.ticket !in running }.forEach { adopt(it, now) }
         waiting.forEach { decisions += submit(it.copy(cost = 0), now) }
@@ -200,8 +250,9 @@
     public fun tick(now: Instant): List<SlotDecision> {
         val decisions = ArrayList<SlotDecision>()
         for (service in services.values) {
-            for (wish in service.queue.all) {
-                val refusal = lostOrNull(service, wish, now) ?: continue
+            for (work in service.queue.all) {
+                val wish = work.wish
+                val refusal = lostOrNull(service, work, now) ?: continue
                 service.queue.remove(wish.ticket)
                 wish.team?.let { quotas[it] }?.putBack(wish.cost.toDouble())
                 decisions += refusal
@@ -231,9 +282,9 @@
 
     private fun adopt(slot: HeldSlot, now: Instant) {
         val service = stateOf(slot.wish.service)
-        service.queue.remove(slot.wish.ticket)
-        service.targets.findOrNull(slot.target)?.start(slot.wish)
-        running[slot.wish.ticket] = Running(slot.wish, slot.target, now)
+        val work = service.queue.remove(slot.wish.ticket) ?: workOf(service, slot.wish)
+        service.targets.findOrNull(slot.target)?.start(work)
+        running[slot.wish.ticket] = Running(work, slot.target, now)
     }
 
     private fun grantAll(service: ServiceState, now: Instant): List<SlotDecision> {
@@ -243,21 +294,22 @@
             val choice = service.targets.chooseOrNull(first, now)?.let { first to it }
                 ?: nextFitting(service, now)
                 ?: break
-            val (wish, target) = choice
-            service.queue.remove(wish.ticket)
-            target.start(wish)
-            running[wish.ticket] = Running(wish, target.target.id, now)
-            grants += SlotDecision.Grant(wish.ticket, target.target)
+            val (work, target) = choice
+            val ticket = work.wish.ticket
+            service.queue.remove(ticket)
+            target.start(work)
+            running[ticket] = Running(work, target.target.id, now)
+            grants += SlotDecision.Grant(ticket, target.target)
         }
         return grants
     }
 
     /** Finds work behind a first wish that only excluded targets could take. */
-    private fun nextFitting(service: ServiceState, now: Instant): Pair<SlotWish, TargetState>? {
+    private fun nextFitting(service: ServiceState, now: Instant): Pair<WishWork, TargetState>? {
         val first = service.queue.firstOrNull(now) ?: return null
-        if (first.excluded.isEmpty()) return null
-        for (wish in service.queue.inOrder(now).drop(1).take(LOOK_AHEAD)) {
-            service.targets.chooseOrNull(wish, now)?.let { return wish to it }
+        if (first.wish.excluded.isEmpty()) return null
+        for (work in service.queue.inOrder(now).drop(1).take(LOOK_AHEAD)) {
+            service.targets.chooseOrNull(work, now)?.let { return work to it }
         }
         return null
     }
@@ -269,12 +321,13 @@
         end: SlotEnd.Served
     ) {
         val actual = end.totalMillis.toDouble()
-        if (!wish.isStream) {
-            service.plainMillis += PACE_WEIGHT * (actual - service.plainMillis)
-        }
         val nominal = if (wish.isStream) {
+            service.outputs.merge(wish.route, end.outputTokens.toDouble()) { old, new ->
+                old + PACE_WEIGHT * (new - old)
+            }
             wish.promptTokens * PREFILL_MILLIS + end.outputTokens * DECODE_MILLIS
         } else {
+            service.plainMillis += PACE_WEIGHT * (actual - service.plainMillis)
             service.plainMillis
         }
         target?.onSuccess()
@@ -283,33 +336,37 @@
         service.pace += PACE_WEIGHT * (ratio - service.pace)
     }
 
-    private fun nominalMillis(service: ServiceState, wish: SlotWish): Double =
-        if (wish.isStream) {
-            wish.promptTokens * PREFILL_MILLIS + wish.outputTokens * DECODE_MILLIS
-        } else {
-            service.plainMillis
-        }
+    /** Works out what [wish] is expected to take, by its own hint or by what was seen before. */
+    private fun workOf(service: ServiceState, wish: SlotWish): WishWork {
+        if (!wish.isStream) return WishWork(wish, 0, service.plainMillis)
+        val expected = wish.outputHint ?: service.outputs[wish.route]?.toInt() ?: FIRST_OUTPUT
+        val output = minOf(expected, wish.outputLimit)
+        val millis = wish.promptTokens * PREFILL_MILLIS + output * DECODE_MILLIS
+        return WishWork(wish, output, millis * service.pace)
+    }
 
     private fun hopelessOrNull(
         service: ServiceState,
-        wish: SlotWish,
+        work: WishWork,
         now: Instant
     ): SlotDecision? {
+        val wish = work.wish
         if (service.targets.all.none { !it.target.isLeaving }) {
             return refusal(wish, SlotRefusal.NoTarget, NO_TARGET_RETRY)
         }
         val wait = expectedWait(service, wish, now)
-        val service0 = nominalMillis(service, wish).milliseconds
-        if (now + wait + service0 <= wish.deadline) return null
+        if (now + wait + work.leastTime() <= wish.deadline) return null
         return refusal(wish, SlotRefusal.TooLate, wait)
     }
 
-    private fun lostOrNull(service: ServiceState, wish: SlotWish, now: Instant): SlotDecision? {
-        val least = nominalMillis(service, wish).milliseconds
-        if (now + least <= wish.deadline) return null
-        return refusal(wish, SlotRefusal.TooLate, expectedWait(service, wish, now))
+    private fun lostOrNull(service: ServiceState, work: WishWork, now: Instant): SlotDecision? {
+        if (now + work.leastTime() <= work.wish.deadline) return null
+        return refusal(work.wish, SlotRefusal.TooLate, expectedWait(service, work.wish, now))
     }
 
+    /** Returns a time in which the work may just be done; its length is a guess. */
+    private fun WishWork.leastTime(): Duration = (nominalMillis * LEAST_PART).milliseconds
+
     /** Returns the time until a slot is free for [wish], behind all work that goes before it. */
     private fun expectedWait(service: ServiceState, wish: SlotWish, now: Instant): Duration {
         val slots = service.targets.usableSlots(now).coerceAtLeast(1)
--- a/core/src/main/kotlin/io/primroseflow/fleet/FleetTargets.kt
+++ b/core/src/main/kotlin/io/primroseflow/fleet/FleetTargets.kt
@@ -64,40 +64,41 @@
     }
 
     /** Tells whether the target may start [wish] now. */
-    fun canStart(wish: SlotWish, kvTokens: Long?, now: Instant): Boolean {
+    fun canStart(work: WishWork, kvTokens: Long?, now: Instant): Boolean {
+        val wish = work.wish
         if (!isUsable(now) || inFlight >= slotLimit) return false
         if (isOnTrial && inFlight > 0) return false
         if (target.id in wish.excluded) return false
-        return kvTokens == null || inFlight == 0 || tokensInFlight + footprint(wish) <= kvTokens
+        return kvTokens == null || inFlight == 0 || tokensInFlight + work.footprint <= kvTokens
     }
 
     /** Whether the target is neither leaving nor paused after failures. */
     fun isUsable(now: Instant): Boolean = !target.isLeaving && now >= pausedUntil
 
-    fun start(wish: SlotWish) {
+    fun start(work: WishWork) {
         inFlight++
-        tokensInFlight += footprint(wish)
-        wish.parts.forEach { parts[it.id] = Unit }
+        tokensInFlight += work.footprint
+        work.wish.parts.forEach { parts[it.id] = Unit }
     }
 
-    fun release(wish: SlotWish) {
+    fun release(work: WishWork) {
         inFlight--
-        tokensInFlight -= footprint(wish)
+        tokensInFlight -= work.footprint
     }
 
     /** Forgets what the target had cached; it has been started anew. */
     fun forgetParts() = parts.clear()
 
-    /** Returns the time that [wish] is expected to take here. */
-    fun expectedMillis(wish: SlotWish, isRemote: Boolean): Double {
+    /** Returns the time that [work] is expected to take here. */
+    fun expectedMillis(work: WishWork, isRemote: Boolean): Double {
         val load = inFlight.toDouble() / slotLimit.coerceAtLeast(1)
-        val work = if (wish.isStream) {
-            uncachedTokens(wish) * PREFILL_MILLIS + wish.outputTokens * DECODE_MILLIS
+        val base = if (work.wish.isStream) {
+            uncachedTokens(work.wish) * PREFILL_MILLIS + work.outputTokens * DECODE_MILLIS
         } else {
-            PLAIN_MILLIS
+            work.nominalMillis
         }
         val remote = if (isRemote) REMOTE_MILLIS else 0.0
-        return slowness * work * (1 + BATCH_SLOWDOWN * load) + remote
+        return slowness * base * (1 + BATCH_SLOWDOWN * load) + remote
     }
 
     /** Learns from an answer that took [actualMillis] where [nominalMillis] were expected. */
@@ -134,12 +135,17 @@
         return (wish.promptTokens - kept).coerceAtLeast(0)
     }
 
-    private fun footprint(wish: SlotWish): Long = (wish.promptTokens + wish.outputTokens).toLong()
+}
 
-    companion object {
-        /** Expected time of a call of a plain service before any was seen. */
-        const val PLAIN_MILLIS = 20.0
-    }
+/**
+ * A wish with the work that it is expected to be.
+ *
+ * @property outputTokens expected length of the answer
+ * @property nominalMillis time that it holds a slot at a target of mean speed
+ */
+internal class WishWork(val wish: SlotWish, val outputTokens: Int, val nominalMillis: Double) {
+    /** Tokens that it occupies in a KV cache when it is done. */
+    val footprint: Long get() = (wish.promptTokens + outputTokens).toLong()
 }
 
 /** The targets of one service. */
@@ -166,12 +172,13 @@
         states.values.removeIf { it.target.id !in listed && it.inFlight == 0 }
     }
 
-    fun chooseOrNull(wish: SlotWish, now: Instant): TargetState? {
+    fun chooseOrNull(work: WishWork, now: Instant): TargetState? {
         var best: TargetState? = null
         var bestMillis = Double.POSITIVE_INFINITY
         for (state in states.values) {
-            if (!state.canStart(wish, kvTokens, now)) continue
-            val millis = state.expectedMillis(wish, state.target.dataCentre != wish.dataCentre)
+            if (!state.canStart(work, kvTokens, now)) continue
+            val isRemote = state.target.dataCentre != work.wish.dataCentre
+            val millis = state.expectedMillis(work, isRemote)
             if (millis >= bestMillis) continue
             best = state
             bestMillis = millis
--- /dev/null
+++ b/core/src/test/kotlin/io/primroseflow/routing/RouteTableTest.kt
@@ -0,0 +1,76 @@
+package io.primroseflow.routing
+
+import io.kotest.core.spec.style.DescribeSpec
+import io.kotest.matchers.ints.shouldBeInRange
+import io.kotest.matchers.shouldBe
+import io.primroseflow.fleet.fleetPolicy
+import io.primroseflow.model.TeamId
+import kotlin.time.Duration.Companion.seconds
+import kotlinx.collections.immutable.persistentListOf
+import kotlinx.collections.immutable.persistentMapOf
+
+private fun route(host: String, prefix: String) = ServiceRoute(
+    id = RouteId("$host$prefix"),
+    host = host,
+    pathPrefix = prefix,
+    split = persistentListOf(WeightedService(ServiceId("s"), 1)),
+    repeatability = Repeatability.Idempotent,
+    timeout = 1.seconds,
+    latencyGoal = 1.seconds,
+    priority = 0,
+    maxAttempts = 1,
+    isPublic = false,
+    isStream = false
+)
+
+class RouteTableTest :
+    DescribeSpec({
+        val policy = fleetPolicy().copy(
+            routes = persistentListOf(
+                route("a.example", "/"),
+                route("a.example", "/x/"),
+                route("a.example", "/x/y/"),
+                route("b.example", "/x/")
+            ),
+            credentials = persistentMapOf("key" to TeamId("t"))
+        )
+        val table = RouteTable(policy)
+
+        describe("a route") {
+            it("is the one of the host with the longest prefix") {
+                table.findOrNull("a.example", "/x/y/z")?.pathPrefix shouldBe "/x/y/"
+                table.findOrNull("a.example", "/x/yz")?.pathPrefix shouldBe "/x/"
+                table.findOrNull("a.example", "/x")?.pathPrefix shouldBe "/"
+                table.findOrNull("A.Example:8080", "/x/1")?.pathPrefix shouldBe "/x/"
+            }
+
+            it("is not one of another host") {
+                table.findOrNull("b.example", "/y/") shouldBe null
+                table.findOrNull("c.example", "/x/") shouldBe null
+            }
+        }
+
+        describe("a credential") {
+            it("names its team, and nothing else does") {
+                table.teamOrNull("key")?.id shouldBe TeamId("t")
+                table.teamOrNull("other") shouldBe null
+                table.teamOrNull(null) shouldBe null
+            }
+        }
+
+        describe("a split") {
+            val split = persistentListOf(
+                WeightedService(ServiceId("a"), 90),
+                WeightedService(ServiceId("b"), 10)
+            )
+
+            it("stays put for one request") {
+                repeat(20) { split.chooseFor("id-7") shouldBe split.chooseFor("id-7") }
+            }
+
+            it("follows the weights") {
+                val count = (1..10_000).count { split.chooseFor("request-$it").value == "b" }
+                count shouldBeInRange 800..1_200
+            }
+        }
+    })
--- a/daemon/src/main/kotlin/io/primroseflow/daemon/RoutedProcesses.kt
+++ b/daemon/src/main/kotlin/io/primroseflow/daemon/RoutedProcesses.kt
@@ -20,6 +20,7 @@
 import io.primroseflow.daemon.target.TargetPool
 import io.primroseflow.daemon.target.bodyFraming
 import io.primroseflow.daemon.target.source
+import io.primroseflow.fleet.QuotaTolerance
 import io.primroseflow.model.DataCentreId
 import java.io.ByteArrayOutputStream
 import java.io.IOException
@@ -131,7 +132,8 @@
     val seeds: () -> Set<String>,
     val isFirstStart: Boolean,
     val dataFolder: Path,
-    val voters: Int
+    val voters: Int,
+    val quotaTolerance: QuotaTolerance
 )
 
 /** The thread, selector and logs that the tasks of one process share. */
@@ -187,7 +189,8 @@
             peerPort = settings.peerPort,
             seeds = settings.seeds,
             isFirstStart = settings.isFirstStart,
-            voters = settings.voters
+            voters = settings.voters,
+            quotaTolerance = settings.quotaTolerance
         ),
         folder = DiskFolder(settings.dataFolder),
         directory = environment.directory(frame.fetcher),
--- a/daemon/src/main/kotlin/io/primroseflow/daemon/control/ControlHosts.kt
+++ b/daemon/src/main/kotlin/io/primroseflow/daemon/control/ControlHosts.kt
@@ -31,6 +31,7 @@
 import io.primroseflow.daemon.storage.DataFolder
 import io.primroseflow.daemon.storage.ReplicaStorage
 import io.primroseflow.daemon.storage.StorageError
+import io.primroseflow.fleet.QuotaTolerance
 import io.primroseflow.model.DataCentreId
 import io.primroseflow.model.HostId
 import io.primroseflow.timeline.HybridClock
@@ -69,7 +70,8 @@
     val peerPort: Int,
     val seeds: () -> Set<String>,
     val isFirstStart: Boolean,
-    val voters: Int
+    val voters: Int,
+    val quotaTolerance: QuotaTolerance
 )
 
 /** The end of an operator's order to put a policy in force. */
@@ -222,7 +224,8 @@
             plan = plan
         )
         val client: ControlClient = ControlClient(clock, links::send, seedHosts())
-        val scheduler: SharedScheduler = SharedScheduler(this, policy, clock, log)
+        val scheduler: SharedScheduler = 
+            SharedScheduler(this, policy, clock, settings.quotaTolerance, log)
         private val watch: DirectoryWatch = DirectoryWatch(
             directory = directory,
             log = log,
--- a/daemon/src/main/kotlin/io/primroseflow/daemon/entry/EntryHosts.kt
+++ b/daemon/src/main/kotlin/io/primroseflow/daemon/entry/EntryHosts.kt
@@ -7,6 +7,7 @@
 import io.primroseflow.daemon.fleet.Dialect
 import io.primroseflow.daemon.fleet.DirectoryWatch
 import io.primroseflow.daemon.fleet.PolicyDecoder
+import io.primroseflow.daemon.fleet.RequestTraits
 import io.primroseflow.daemon.fleet.RoutedPolicyInForce
 import io.primroseflow.daemon.fleet.TargetDirectory
 import io.primroseflow.daemon.http.HttpConnection
@@ -19,6 +20,7 @@
 import io.primroseflow.daemon.peer.machine
 import io.primroseflow.daemon.target.TargetExchanger
 import io.primroseflow.daemon.target.TargetPool
+import io.primroseflow.fleet.QuotaTolerance
 import io.primroseflow.limits.RepeatBounds
 import io.primroseflow.limits.RepeatBudget
 import io.primroseflow.model.DataCentreId
@@ -77,7 +79,8 @@
     val seeds: () -> Set<String>,
     val leaseLimit: Duration,
     val grace: Duration,
-    val repeatBounds: RepeatBounds
+    val repeatBounds: RepeatBounds,
+    val quotaTolerance: QuotaTolerance
 )
 
 /** An entry host: takes requests, owns them until their end, and keeps its policy current. */
@@ -94,7 +97,7 @@
 ) {
     private val self = HostId(settings.address)
     private val lease = PolicyLease(settings.leaseLimit, clock, wallClock)
-    private val desk = SlotDesk(self, clock, log)
+    private val desk = SlotDesk(self, clock, settings.quotaTolerance, log)
     private val policy = RoutedPolicyInForce(decoder, log, ::onPolicy)
     private val pool = TargetPool(selector, clock)
     private val budgets = HashMap<ServiceId, RepeatBudget>()
@@ -242,7 +245,7 @@
 
     private fun admit(
         incoming: Incoming.Request,
-        traits: io.primroseflow.daemon.fleet.RequestTraits,
+        traits: RequestTraits,
         arrivedAt: Instant
     ): Admission {
         val since = stoppingSince
@@ -264,7 +267,7 @@
 
     private fun admitted(
         incoming: Incoming.Request,
-        traits: io.primroseflow.daemon.fleet.RequestTraits,
+        traits: RequestTraits,
         table: RouteTable,
         route: ServiceRoute,
         team: RoutedTeam?,
@@ -372,7 +375,8 @@
             "team" to request.team?.id,
             "targets" to relay.targets,
             "tokens" to request.traits.promptTokens,
-            "output" to request.traits.outputLimit,
+            "output_limit" to request.traits.outputLimit,
+            "output_hint" to request.traits.outputHint,
             "waited_ms" to relay.waitedFor.inWholeMilliseconds,
             "first_ms" to relay.beganAt?.let { (it - request.arrivedAt).inWholeMilliseconds },
             "total_ms" to (now - request.arrivedAt).inWholeMilliseconds,
--- a/daemon/src/main/kotlin/io/primroseflow/daemon/entry/RequestRelays.kt
+++ b/daemon/src/main/kotlin/io/primroseflow/daemon/entry/RequestRelays.kt
@@ -146,7 +146,6 @@
 
     private fun nextWish(): SlotWish {
         val traits = request.traits
-        val limit = traits.outputLimit ?: 0
         return SlotWish(
             ticket = services.desk.nextTicket(),
             service = request.service.id,
@@ -157,7 +156,8 @@
             cost = if (sends == 0) request.cost else 0,
             isStream = route.isStream,
             promptTokens = traits.promptTokens ?: 0,
-            outputTokens = traits.outputHint?.coerceAtMost(limit) ?: limit,
+            outputHint = traits.outputHint,
+            outputLimit = traits.outputLimit ?: 0,
             parts = traits.parts,
             excluded = excluded.toSet(),
             arrivedAt = request.arrivedAt,
@@ -187,7 +187,7 @@
         val listener = Listener()
         try {
             val result = services.exchanger.run(dispatchTo(target), listener)
-            end = slotEnd(result, wish, start, listener)
+            end = slotEnd(result, start, listener)
             if (result is ExchangeResult.NotRun) mayHaveRun = runs > 0 else runs++
             return result
         } finally {
@@ -222,7 +222,6 @@
 
     private fun slotEnd(
         result: ExchangeResult,
-        wish: SlotWish,
         start: Instant,
         listener: Listener
     ): SlotEnd = when (result) {
@@ -234,7 +233,7 @@
             if (result.head.status >= FIRST_SERVER_ERROR) {
                 SlotEnd.Failed
             } else {
-                served(start, clock.now(), wish.outputTokens)
+                served(start, clock.now(), tokens = 0)
             }
 
         is ExchangeResult.Streamed -> served(
--- a/daemon/src/main/kotlin/io/primroseflow/daemon/entry/SlotDesks.kt
+++ b/daemon/src/main/kotlin/io/primroseflow/daemon/entry/SlotDesks.kt
@@ -7,6 +7,8 @@
 import io.primroseflow.fleet.FleetScheduler
 import io.primroseflow.fleet.FleetShare
 import io.primroseflow.fleet.FleetTarget
+import io.primroseflow.fleet.HeldSlot
+import io.primroseflow.fleet.QuotaTolerance
 import io.primroseflow.fleet.SlotDecision
 import io.primroseflow.fleet.SlotEnd
 import io.primroseflow.fleet.SlotTicket
@@ -24,6 +26,7 @@
 internal class SlotDesk(
     private val self: HostId,
     private val clock: Clock,
+    private val tolerance: QuotaTolerance,
     private val log: EventLog
 ) {
     private class Waiting(val wish: SlotWish, val answer: CompletableDeferred<SlotDecision>)
@@ -32,7 +35,7 @@
 
     private val waiting = LinkedHashMap<Long, Waiting>()
     private val held = LinkedHashMap<Long, Held>()
-    private var local: FleetScheduler? = FleetScheduler()
+    private var local: FleetScheduler? = FleetScheduler(tolerance = tolerance)
     private var policy: RoutedPolicy? = null
     private var lastTicket = 0L
 
@@ -130,11 +133,11 @@
     /** Goes on with this host's own share, as one of [hosts]. */
     fun onDetached(hosts: Int) {
         val now = clock.now()
-        val own = FleetScheduler(FleetShare(hosts.coerceAtLeast(1)))
+        val own = FleetScheduler(FleetShare(hosts.coerceAtLeast(1)), tolerance)
         policy?.let { own.updatePolicy(it, now) }
         local = own
         own.updateTargets(targets, now)
-        val slots = held.values.map { io.primroseflow.fleet.HeldSlot(it.wish, it.target.id) }
+        val slots = held.values.map { HeldSlot(it.wish, it.target.id) }
         deliver(own.reconcile(self, slots, waiting.values.map { it.wish }, now))
         log.warn(
             "scheduling_alone",
--- a/daemon/src/main/kotlin/io/primroseflow/daemon/fleet/SharedSchedulers.kt
+++ b/daemon/src/main/kotlin/io/primroseflow/daemon/fleet/SharedSchedulers.kt
@@ -8,6 +8,7 @@
 import io.primroseflow.daemon.peer.toWish
 import io.primroseflow.fleet.FleetScheduler
 import io.primroseflow.fleet.FleetTarget
+import io.primroseflow.fleet.QuotaTolerance
 import io.primroseflow.fleet.SlotDecision
 import io.primroseflow.fleet.SlotEnd
 import io.primroseflow.fleet.SlotTicket
@@ -58,6 +59,7 @@
     private val group: SchedulerGroup,
     private val policy: RoutedPolicyInForce,
     private val clock: Clock,
+    private val tolerance: QuotaTolerance,
     private val log: EventLog
 ) {
     private class HostEntry(var heardAt: Instant, var report: PeerMessage.HostReport) {
@@ -217,7 +219,7 @@
         hosts.clear()
         awaiting.clear()
         val now = clock.now()
-        val fresh = FleetScheduler()
+        val fresh = FleetScheduler(tolerance = tolerance)
         policy.table?.let { fresh.updatePolicy(it.policy, now) }
         fresh.updateTargets(fleet.targets, now)
         fresh.limitQuotas(TAKEOVER_BURST, now)
