Judge targets against their service, find a new scheduler at once, restart on the last policy

Ruled out: load (the slots were free). Change: pauses relative to the service and for at most half of its targets, connection failures for the reporter's data centre only, reports to all control hosts while none schedules, one policy per applied batch, a shorter first election, refusals by the pace of a rank.

--- a/core/src/main/kotlin/io/primroseflow/consensus/ReplicaCore.kt
+++ b/core/src/main/kotlin/io/primroseflow/consensus/ReplicaCore.kt
@@ -4,6 +4,9 @@
 import kotlin.random.Random
 import kotlin.time.Instant
 
+/** Part of the election timeout that a replica waits at least after its start. */
+private const val FIRST_ELECTION = 0.3
+
 /** What the parts of a replica share: its durable state, its timers and its pending effects. */
 internal class ReplicaCore(
     val id: HostId,
@@ -39,7 +42,8 @@
     val term: Term get() = hardState.term
 
     init {
-        resetElectionTimer(now)
+        // After a start nobody is known to lead, so the first election need not wait as long.
+        electionDue = now + settings.electionTimeout * (FIRST_ELECTION + random.nextDouble() / 2)
     }
 
     fun changeHardState(changed: HardState) {
--- a/core/src/main/kotlin/io/primroseflow/fleet/FleetModel.kt
+++ b/core/src/main/kotlin/io/primroseflow/fleet/FleetModel.kt
@@ -118,6 +118,11 @@
     @SerialName("bad")
     public data object Failed : SlotEnd
 
+    /** The connection broke or the target fell silent while it had the request. */
+    @Serializable
+    @SerialName("lost")
+    public data object Lost : SlotEnd
+
     /** The caller left or the time was up; says nothing of the target. */
     @Serializable
     @SerialName("cut")
--- a/core/src/main/kotlin/io/primroseflow/fleet/FleetScheduler.kt
+++ b/core/src/main/kotlin/io/primroseflow/fleet/FleetScheduler.kt
@@ -32,6 +32,9 @@
 /** Part of its expected time in which a request may turn out to be done. */
 private const val LEAST_PART = 0.3
 
+/** Wishes of one rank from which on its pace says how long they wait. */
+private const val MIN_QUEUE = 4
+
 /** Wishes that are looked at behind the first one when no target fits that. */
 private const val LOOK_AHEAD = 8
 
@@ -108,8 +111,13 @@
         /** Mean time of a call of a plain service. */
         var plainMillis = FIRST_PLAIN_MILLIS
 
+        /** Grants of each rank lately, which tell how fast its queue moves. */
+        private val flows = HashMap<Int, RankFlow>()
+
         /** Mean length of the answers of each route, in tokens. */
         val outputs = HashMap<RouteId, Double>()
+
+        fun flowOf(rank: Int, now: Instant) = flows.getOrPut(rank) { RankFlow(now) }
     }
 
     private val services = HashMap<ServiceId, ServiceState>()
@@ -183,6 +191,7 @@
             return listOf(refusal)
         }
         service.queue.add(work)
+        service.flowOf(wish.rank, now)
         return grantAll(service, now)
     }
 
@@ -203,8 +212,14 @@
         target?.release(done.work)
         when (end) {
             is SlotEnd.Served -> learn(service, target, done.wish, end)
-            is SlotEnd.NotRun -> if (end.isUnreachable) target?.onFailure(true, now)
-            SlotEnd.Failed -> target?.onFailure(false, now)
+
+            is SlotEnd.NotRun ->
+                if (end.isUnreachable) target?.onUnreachable(done.wish.dataCentre, now)
+
+            SlotEnd.Failed -> target?.let { service.targets.onFailure(it, isLoss = false, now) }
+
+            SlotEnd.Lost -> target?.let { service.targets.onFailure(it, isLoss = true, now) }
+
             SlotEnd.Cancelled -> Unit
         }
         return grantAll(service, now)
@@ -250,13 +265,7 @@
     public fun tick(now: Instant): List<SlotDecision> {
         val decisions = ArrayList<SlotDecision>()
         for (service in services.values) {
-            for (work in service.queue.all) {
-                val wish = work.wish
-                val refusal = lostOrNull(service, work, now) ?: continue
-                service.queue.remove(wish.ticket)
-                wish.team?.let { quotas[it] }?.putBack(wish.cost.toDouble())
-                decisions += refusal
-            }
+            refuseUnreachable(service, now, decisions)
             decisions += grantAll(service, now)
         }
         return decisions
@@ -299,15 +308,16 @@
             service.queue.remove(ticket)
             target.start(work)
             running[ticket] = Running(work, target.target.id, now)
+            service.flowOf(work.wish.rank, now).onGrant(now)
             grants += SlotDecision.Grant(ticket, target.target)
         }
         return grants
     }
 
-    /** Finds work behind a first wish that only excluded targets could take. */
+    /** Finds work behind a first wish that no target could take even when it was free. */
     private fun nextFitting(service: ServiceState, now: Instant): Pair<WishWork, TargetState>? {
         val first = service.queue.firstOrNull(now) ?: return null
-        if (first.wish.excluded.isEmpty()) return null
+        if (service.targets.hasCandidate(first.wish, now)) return null
         for (work in service.queue.inOrder(now).drop(1).take(LOOK_AHEAD)) {
             service.targets.chooseOrNull(work, now)?.let { return work to it }
         }
@@ -330,7 +340,7 @@
             service.plainMillis += PACE_WEIGHT * (actual - service.plainMillis)
             service.plainMillis
         }
-        target?.onSuccess()
+        target?.onSuccess(wish.dataCentre)
         target?.learnSpeed(actual, nominal)
         val ratio = actual / nominal.coerceAtLeast(1.0)
         service.pace += PACE_WEIGHT * (ratio - service.pace)
@@ -359,18 +369,41 @@
         return refusal(wish, SlotRefusal.TooLate, wait)
     }
 
-    private fun lostOrNull(service: ServiceState, work: WishWork, now: Instant): SlotDecision? {
-        if (now + work.leastTime() <= work.wish.deadline) return null
-        return refusal(work.wish, SlotRefusal.TooLate, expectedWait(service, work.wish, now))
-    }
-
     /** Returns a time in which the work may just be done; its length is a guess. */
     private fun WishWork.leastTime(): Duration = (nominalMillis * LEAST_PART).milliseconds
 
-    /** Returns the time until a slot is free for [wish], behind all work that goes before it. */
+    /**
+     * Returns the time until a slot is free for [wish]: behind the work that goes before it, and
+     * no faster than its rank is served at present, since higher work goes on to arrive.
+     */
     private fun expectedWait(service: ServiceState, wish: SlotWish, now: Instant): Duration {
         val slots = service.targets.usableSlots(now).coerceAtLeast(1)
-        return (service.queue.workAtOrAbove(wish.rank) / slots).milliseconds
+        val byWork = (service.queue.workAtOrAbove(wish.rank) / slots).milliseconds
+        val waiting = service.queue.countOf(wish.rank)
+        if (waiting < MIN_QUEUE) return byWork
+        return maxOf(byWork, service.flowOf(wish.rank, now).timeFor(waiting, now))
+    }
+
+    /** Refuses those waiting wishes that the present pace of their rank does not reach in time. */
+    private fun refuseUnreachable(
+        service: ServiceState,
+        now: Instant,
+        decisions: MutableList<SlotDecision>
+    ) {
+        val positions = HashMap<Int, Int>()
+        for (work in service.queue.inOrder(now).toList()) {
+            val wish = work.wish
+            val position = positions.merge(wish.rank, 1, Int::plus) ?: 1
+            val wait = when {
+                position < MIN_QUEUE -> Duration.ZERO
+                else -> service.flowOf(wish.rank, now).timeFor(position, now)
+            }
+            if (now + wait + work.leastTime() <= wish.deadline) continue
+            positions[wish.rank] = position - 1
+            service.queue.remove(wish.ticket)
+            wish.team?.let { quotas[it] }?.putBack(wish.cost.toDouble())
+            decisions += refusal(wish, SlotRefusal.TooLate, maxOf(wait, MIN_RETRY_AFTER))
+        }
     }
 
     private fun refusal(wish: SlotWish, reason: SlotRefusal, wait: Duration): SlotDecision =
--- a/core/src/main/kotlin/io/primroseflow/fleet/FleetTargets.kt
+++ b/core/src/main/kotlin/io/primroseflow/fleet/FleetTargets.kt
@@ -1,26 +1,36 @@
 package io.primroseflow.fleet
 
+import io.primroseflow.model.DataCentreId
 import io.primroseflow.model.TargetId
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 import kotlin.time.Instant
 
-/** Weight of the newest sample in a moving average. */
+/** Weight of the newest sample in the moving average of a target's speed. */
 private const val SAMPLE_WEIGHT = 0.2
 
-/** First time that a failing target gets no work; doubles with each further failure. */
-private val FIRST_PAUSE: Duration = 500.milliseconds
+/** Weight of the newest end in the moving average of a target's failures. */
+private const val FAILURE_WEIGHT = 0.1
 
-/** Longest time that a failing target gets no work. */
-private val LONGEST_PAUSE: Duration = 8.seconds
+/** First time that a target gets no work after failures; doubles with each further one. */
+private val FIRST_PAUSE: Duration = 300.milliseconds
 
-/** Failures in a row after which a target gets no work for a while. */
-private const val FAILURES_IN_ROW = 2
+/** Longest time that a target gets no work after failures. */
+private val LONGEST_PAUSE: Duration = 4.seconds
+
+/** Lost answers in a row after which a target gets no work for a while. */
+private const val LOSSES_IN_ROW = 2
 
 /** Part of failed requests from which a target counts as failing though some succeed. */
 private const val FAILING_PART = 0.25
 
+/** A target is failing when it fails this much more than the mean of its service. */
+private const val FAILING_FACTOR = 1.6
+
+/** Part of a service's targets that may be paused at the same time. */
+private const val PAUSED_PART = 0.5
+
 /** Ends of requests that must have been seen before the part of failed ones says something. */
 private const val MIN_ENDS = 6
 
@@ -53,11 +63,18 @@
     /** Time that answers take here, as a multiple of what was expected. */
     var slowness: Double = 1.0
         private set
-    private var failuresInRow = 0
-    private var failedPart = 0.0
+
+    /** Part of the requests that failed lately. */
+    var failedPart: Double = 0.0
+        private set
+    private var lossesInRow = 0
+    private val unreachableFrom = HashMap<DataCentreId, Pause>()
     private var ends = 0
     private var pausedUntil = Instant.DISTANT_PAST
     private var isOnTrial = false
+
+    private class Pause(var count: Int, var until: Instant)
+
     private val parts = object : LinkedHashMap<String, Unit>(64, 0.75f, true) {
         override fun removeEldestEntry(eldest: MutableMap.MutableEntry<String, Unit>?) =
             size > MAX_PARTS
@@ -66,12 +83,18 @@
     /** Tells whether the target may start [wish] now. */
     fun canStart(work: WishWork, kvTokens: Long?, now: Instant): Boolean {
         val wish = work.wish
-        if (!isUsable(now) || inFlight >= slotLimit) return false
+        if (!mayTake(wish, now) || inFlight >= slotLimit) return false
         if (isOnTrial && inFlight > 0) return false
-        if (target.id in wish.excluded) return false
         return kvTokens == null || inFlight == 0 || tokensInFlight + work.footprint <= kvTokens
     }
 
+    /** Tells whether the target may take [wish] once it has room. */
+    fun mayTake(wish: SlotWish, now: Instant): Boolean {
+        val unreachable = unreachableFrom[wish.dataCentre]
+        val isReachable = unreachable == null || now >= unreachable.until
+        return isReachable && isUsable(now) && target.id !in wish.excluded
+    }
+
     /** Whether the target is neither leaving nor paused after failures. */
     fun isUsable(now: Instant): Boolean = !target.isLeaving && now >= pausedUntil
 
@@ -107,26 +130,39 @@
         slowness += SAMPLE_WEIGHT * (sample - slowness)
     }
 
-    fun onSuccess() {
-        failuresInRow = 0
+    fun onSuccess(from: DataCentreId) {
+        lossesInRow = 0
         isOnTrial = false
+        unreachableFrom.remove(from)
         count(isFailure = false)
     }
 
-    /** Notes a failure; [isUnreachable] when not even a connection came about. */
-    fun onFailure(isUnreachable: Boolean, now: Instant) {
-        failuresInRow++
+    /** Notes that no connection came about from the data centre [from]. */
+    fun onUnreachable(from: DataCentreId, now: Instant) {
+        val pause = unreachableFrom.getOrPut(from) { Pause(0, now) }
+        pause.until = now + pauseOf(pause.count++)
+    }
+
+    /** Notes a failure and returns whether the target should be paused for it. */
+    fun onFailure(isLoss: Boolean, servicePart: Double): Boolean {
+        if (isLoss) lossesInRow++
         count(isFailure = true)
-        val isFailing = ends >= MIN_ENDS && failedPart > FAILING_PART
-        if (!isUnreachable && !isOnTrial && failuresInRow < FAILURES_IN_ROW && !isFailing) return
-        val pause = FIRST_PAUSE * (1 shl (failuresInRow - 1).coerceIn(0, 4))
-        pausedUntil = now + minOf(pause, LONGEST_PAUSE)
+        if (isOnTrial || lossesInRow >= LOSSES_IN_ROW) return true
+        return ends >= MIN_ENDS && failedPart > maxOf(FAILING_PART, FAILING_FACTOR * servicePart)
+    }
+
+    /** Gives the target no work for a while, then a single request to try it. */
+    fun pause(now: Instant) {
+        pausedUntil = now + pauseOf((lossesInRow - 1).coerceAtLeast(0))
         isOnTrial = true
     }
 
+    private fun pauseOf(count: Int): Duration =
+        minOf(FIRST_PAUSE * (1 shl count.coerceIn(0, 4)), LONGEST_PAUSE)
+
     private fun count(isFailure: Boolean) {
         ends++
-        failedPart += SAMPLE_WEIGHT * ((if (isFailure) 1.0 else 0.0) - failedPart)
+        failedPart += FAILURE_WEIGHT * ((if (isFailure) 1.0 else 0.0) - failedPart)
     }
 
     private fun uncachedTokens(wish: SlotWish): Int {
@@ -186,6 +222,19 @@
         return best
     }
 
+    /** Tells whether any target may take [wish] once it has room. */
+    fun hasCandidate(wish: SlotWish, now: Instant): Boolean =
+        states.values.any { it.mayTake(wish, now) }
+
+    /** Takes over a failure of [state]; most targets of a service are never paused at once. */
+    fun onFailure(state: TargetState, isLoss: Boolean, now: Instant) {
+        val staying = states.values.filter { !it.target.isLeaving }
+        val mean = staying.sumOf { it.failedPart } / staying.size.coerceAtLeast(1)
+        if (!state.onFailure(isLoss, mean)) return
+        val paused = staying.count { it !== state && !it.isUsable(now) }
+        if (paused + 1 <= staying.size * PAUSED_PART) state.pause(now)
+    }
+
     /** Slots of the targets that take work. */
     fun usableSlots(now: Instant): Int =
         states.values.sumOf { if (it.isUsable(now)) it.slotLimit else 0 }
--- a/core/src/main/kotlin/io/primroseflow/fleet/WishQueues.kt
+++ b/core/src/main/kotlin/io/primroseflow/fleet/WishQueues.kt
@@ -55,6 +55,9 @@
         return queue.firstOrNull { it.wish.goal >= now } ?: queue.first()
     }
 
+    /** Number of waiting wishes of [rank]. */
+    fun countOf(rank: Int): Int = byRank[rank]?.size ?: 0
+
     /** Work of all waiting wishes of [rank] and of higher tiers, in slot milliseconds. */
     fun workAtOrAbove(rank: Int): Double = workByRank.headMap(rank, true).values.sum()
 
--- a/daemon/src/main/kotlin/io/primroseflow/daemon/control/ReplicaTask.kt
+++ b/daemon/src/main/kotlin/io/primroseflow/daemon/control/ReplicaTask.kt
@@ -323,7 +323,11 @@
             persist(effects)
             effects.messages.forEach { listener.send(it.to, it.message) }
             effects.snapshot?.let(::restore)
+            val before = state.policy
             effects.committed.forEach(::apply)
+            val after = state.policy
+            // Entries that are applied together, as after a restart, show their last policy only.
+            if (after != null && after !== before) listener.onPolicy(after)
             effects.failedReads.forEach { failRead(it) }
             grants += effects.grants
             answerReads()
@@ -401,10 +405,7 @@
     }
 
     private fun applyCommand(content: EntryContent.Command): ControlReply {
-        val before = state.policy
         val answer = state.apply(decodeCommand(content.command))
-        val after = state.policy
-        if (after != null && after !== before) listener.onPolicy(after)
         return ControlReply.Answered(answer)
     }
 
--- a/daemon/src/main/kotlin/io/primroseflow/daemon/entry/SchedulerLinks.kt
+++ b/daemon/src/main/kotlin/io/primroseflow/daemon/entry/SchedulerLinks.kt
@@ -1,6 +1,5 @@
 package io.primroseflow.daemon.entry
 
-import io.primroseflow.control.PolicyRevision
 import io.primroseflow.daemon.EventLog
 import io.primroseflow.daemon.fleet.RoutedPolicyInForce
 import io.primroseflow.daemon.peer.HeldRecord
@@ -16,8 +15,8 @@
 /** Time between two reports; a shared scheduler confirms each. */
 internal val REPORT_INTERVAL: Duration = 200.milliseconds
 
-/** Time without an answer after which another control host is tried. */
-private val ANSWER_TIMEOUT: Duration = 500.milliseconds
+/** Time without an answer after which the scheduler is given up and all are asked. */
+private val ANSWER_TIMEOUT: Duration = 450.milliseconds
 
 /** Reports whose answer may still come. */
 private const val MAX_OPEN_REPORTS = 64
@@ -58,11 +57,9 @@
     private class OpenReport(val number: Long, val asked: Moment)
 
     private var replicas: List<HostId> = emptyList()
-    private var candidate: HostId? = null
-    private var tries = 0
+    private var leader: HostId? = null
     private var lastNumber = 0L
     private var unansweredSince: Instant? = null
-    private var awaitedRevision = PolicyRevision.NONE
     private val open = ArrayDeque<OpenReport>()
 
     /** Term of the scheduler that this host is attached to; 0 while it is not. */
@@ -78,66 +75,59 @@
 
     /** Sends [message] to the scheduler. */
     fun sendToScheduler(message: PeerMessage) {
-        candidate?.let { send(it, message) }
+        leader?.let { send(it, message) }
     }
 
-    /** Sends the next report; looks for another scheduler when the last ones got no answer. */
+    /** Sends the next report; gives the scheduler up when the last ones got no answer. */
     fun tick() {
         val since = unansweredSince
-        if (since != null && clock.now() - since > ANSWER_TIMEOUT) {
-            detach("no answer")
-            candidate = nextCandidate()
-        }
+        if (isAttached && since != null && clock.now() - since > ANSWER_TIMEOUT) detach("no answer")
         report()
     }
 
     /** Handles an answer to a report. */
     fun onReply(from: HostId, reply: PeerMessage.ReportReply) {
-        if (from.machine() != candidate?.machine()) return
+        if (reply.term < term) return
         val asked = open.firstOrNull { it.number == reply.number } ?: return
         open.removeAll { it.number <= reply.number }
         unansweredSince = if (open.isEmpty()) null else clock.now()
         replicas = reply.replicas
         hostCount = reply.hosts.coerceAtLeast(1)
-        awaitedRevision = maxOf(awaitedRevision, reply.policy)
         if (policy.revision >= reply.policy) lease.confirm(asked.asked)
         if (reply.term != term) attach(from, reply.term)
     }
 
     /** Handles that the host which was asked does not schedule. */
     fun onHint(from: HostId, hint: PeerMessage.LeaderHint) {
-        if (from.machine() != candidate?.machine()) return
         if (hint.replicas.isNotEmpty()) replicas = hint.replicas
-        val leader = hint.leader
-        detach("not the leader")
-        if (leader == null || leader.machine() == from.machine()) return
-        candidate = leader
-        report()
+        if (isAttached && from.machine() == leader?.machine()) {
+            detach("not the leader")
+            report()
+        }
     }
 
+    /** Reports to the scheduler, or to all control hosts that may have become it. */
     private fun report() {
-        val to = candidate ?: nextCandidate() ?: return
-        candidate = to
+        val receivers = leader?.let { listOf(it) } ?: candidates()
+        if (receivers.isEmpty()) return
         val number = ++lastNumber
         open.addLast(OpenReport(number, lease.now()))
         if (open.size > MAX_OPEN_REPORTS) open.removeFirst()
         if (unansweredSince == null) unansweredSince = clock.now()
         val holdings = listener.holdings()
-        send(
-            to,
-            PeerMessage.HostReport(
-                number = number,
-                term = term,
-                policy = policy.revision,
-                fleet = listener.fleetVersion(),
-                held = holdings.held,
-                waiting = holdings.waiting
-            )
+        val report = PeerMessage.HostReport(
+            number = number,
+            term = term,
+            policy = policy.revision,
+            fleet = listener.fleetVersion(),
+            held = holdings.held,
+            waiting = holdings.waiting
         )
+        receivers.forEach { send(it, report) }
     }
 
     private fun attach(to: HostId, newTerm: Long) {
-        candidate = to
+        leader = to
         term = newTerm
         log.info("scheduler_attached", "leader" to to, "term" to newTerm)
         listener.onAttached()
@@ -147,14 +137,11 @@
         open.clear()
         unansweredSince = null
         if (!isAttached) return
-        log.warn("scheduler_lost", "leader" to candidate, "term" to term, "cause" to cause)
+        log.warn("scheduler_lost", "leader" to leader, "term" to term, "cause" to cause)
         term = 0
+        leader = null
         listener.onDetached()
     }
 
-    private fun nextCandidate(): HostId? {
-        val all = (replicas + seeds()).distinctBy { it.machine() }
-        if (all.isEmpty()) return null
-        return all[tries++ % all.size]
-    }
+    private fun candidates(): List<HostId> = (replicas + seeds()).distinctBy { it.machine() }
 }
--- a/daemon/src/main/kotlin/io/primroseflow/daemon/http/HttpListeners.kt
+++ b/daemon/src/main/kotlin/io/primroseflow/daemon/http/HttpListeners.kt
@@ -6,14 +6,20 @@
 import io.primroseflow.daemon.EventLog
 import io.primroseflow.routing.CallerBounds
 import java.io.IOException
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Job
+import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
 
 /** Connections that may wait to be accepted. */
 private const val BACKLOG = 1_024
 
+/** Pause after a connection could not be accepted, for example for want of descriptors. */
+private val ACCEPT_PAUSE: Duration = 50.milliseconds
+
 /** Bounds of listeners for operators and health checks. */
 internal val serviceBounds: CallerBounds = CallerBounds(
     headerBytes = 16 * 1024,
@@ -47,6 +53,7 @@
     private val open = HashSet<HttpConnection>()
     private var server: ServerSocket? = null
     private var isClosing = false
+    private var isAccepting = true
 
     /** Number of open connections. */
     val connectionCount: Int get() = open.size
@@ -69,6 +76,7 @@
 
     /** Takes no more connections. */
     fun stopAccepting() {
+        isAccepting = false
         server?.close()
     }
 
@@ -89,8 +97,9 @@
             val socket = try {
                 bound.accept()
             } catch (e: IOException) {
+                if (!isAccepting) return
                 log.warn("accept_failed", "cause" to e)
-                if (bound.socketContext.isCompleted) return
+                delay(ACCEPT_PAUSE)
                 continue
             }
             val connection = HttpConnection(socket)
