--- a/daemon/src/main/kotlin/io/primroseflow/daemon/RoutedProcesses.kt
+++ b/daemon/src/main/kotlin/io/primroseflow/daemon/RoutedProcesses.kt
@@ -156,15 +156,9 @@
     fun <T> run(step: suspend () -> T): T = runBlocking { withContext(dispatcher) { step() } }
 }
 
-/** Prepares the process before any task starts. */
-private fun prepareProcess(environment: RoutedEnvironment) {
-    sizeSmallThreadPools()
-    preloadClasses(environment.javaClass, environment.dialect.javaClass)
-}
-
 /** Runs an entry host until it is stopped by a signal. */
 public fun runEntryHost(settings: EntryHostSettings, environment: RoutedEnvironment) {
-    prepareProcess(environment)
+    sizeSmallThreadPools()
     val frame = ProcessFrame("entry", settings.address)
     val signals = StopSignals { exitProcess(EXIT_FAILED) }
     val host = EntryHost(
@@ -187,7 +181,7 @@
 
 /** Runs a control host until it is stopped by a signal. */
 public fun runControlHost(settings: ControlProcessSettings, environment: RoutedEnvironment) {
-    prepareProcess(environment)
+    sizeSmallThreadPools()
     val frame = ProcessFrame("control", settings.address)
     val signals = StopSignals { exitProcess(EXIT_FAILED) }
     val host = ControlHost(
