--- a/core/src/test/kotlin/io/primroseflow/fleet/FleetSchedulerTest.kt
+++ b/core/src/test/kotlin/io/primroseflow/fleet/FleetSchedulerTest.kt
@@ -300,6 +300,35 @@
                 most shouldBeGreaterThan 9_000L
             }
 
+            it("holds over a change of the scheduler, with hosts that schedule alone between") {
+                val tolerance = QuotaTolerance(8.seconds, ratio = 0.1, units = 2_000.0)
+                val target = fleetTarget("1", 10_000)
+                val hosts = List(4) { Wishes(HostId("h$it")) }
+                var taken = 0L
+                fun flood(schedulers: List<FleetScheduler>, from: Int, until: Int) {
+                    for (step in from until until) {
+                        val now = start + 10.milliseconds * step
+                        val wish = hosts[step % 4].next(cost = 50, at = now)
+                        val used = schedulers[step % schedulers.size]
+                        if (used.submit(wish, now).granted().isEmpty()) continue
+                        taken += 50
+                        used.ended(wish.ticket, served(5), now)
+                    }
+                }
+                flood(listOf(scheduler(target, quota = quota, tolerance = tolerance)), 0, 400)
+                val changed = start + 4.seconds
+                val alone = List(4) {
+                    scheduler(target, quota = quota, share = FleetShare(4)).apply {
+                        limitQuotas(0.1, changed)
+                    }
+                }
+                flood(alone, 400, 450)
+                val next = scheduler(target, quota = quota, tolerance = tolerance)
+                next.limitQuotas(0.25, start + 4_500.milliseconds)
+                flood(listOf(next), 450, 800)
+                taken shouldBeLessThanOrEqualTo (9_000 * 1.1 + 2_000).toLong()
+            }
+
             it("is smaller while hosts are out of reach and use their own part") {
                 val scheduler = scheduler(fleetTarget("1", 100), quota = quota)
                 scheduler.updateQuotaPart(0.5, start)
--- a/daemon/src/main/kotlin/io/primroseflow/daemon/entry/EntryHosts.kt
+++ b/daemon/src/main/kotlin/io/primroseflow/daemon/entry/EntryHosts.kt
@@ -20,7 +20,6 @@
 import io.primroseflow.daemon.peer.machine
 import io.primroseflow.daemon.target.TargetExchanger
 import io.primroseflow.daemon.target.TargetPool
-import io.primroseflow.fleet.QuotaTolerance
 import io.primroseflow.limits.RepeatBounds
 import io.primroseflow.limits.RepeatBudget
 import io.primroseflow.model.DataCentreId
@@ -79,8 +78,7 @@
     val seeds: () -> Set<String>,
     val leaseLimit: Duration,
     val grace: Duration,
-    val repeatBounds: RepeatBounds,
-    val quotaTolerance: QuotaTolerance
+    val repeatBounds: RepeatBounds
 )
 
 /** An entry host: takes requests, owns them until their end, and keeps its policy current. */
@@ -97,7 +95,7 @@
 ) {
     private val self = HostId(settings.address)
     private val lease = PolicyLease(settings.leaseLimit, clock, wallClock)
-    private val desk = SlotDesk(self, clock, settings.quotaTolerance, log)
+    private val desk = SlotDesk(self, clock, log)
     private val policy = RoutedPolicyInForce(decoder, log, ::onPolicy)
     private val pool = TargetPool(selector, clock)
     private val budgets = HashMap<ServiceId, RepeatBudget>()
--- a/daemon/src/main/kotlin/io/primroseflow/daemon/entry/RequestRelays.kt
+++ b/daemon/src/main/kotlin/io/primroseflow/daemon/entry/RequestRelays.kt
@@ -355,9 +355,12 @@
     }
 }
 
-/** Ranks below one team priority; route priorities are small numbers. */
+/** Ranks within one priority; route priorities are small numbers. */
 private const val ROUTE_RANKS = 100
 
-/** Returns the order of service of a request: the team's priority first, then the route's. */
+/**
+ * Returns the order of service of a request: by the priority of its team, which replaces that of
+ * the route where it is set, and among equals by the priority of the route.
+ */
 internal fun rankOf(route: ServiceRoute, team: RoutedTeam?): Int =
-    (team?.priority ?: 0) * ROUTE_RANKS + route.priority
+    (team?.priority ?: route.priority) * ROUTE_RANKS + route.priority
--- a/daemon/src/main/kotlin/io/primroseflow/daemon/entry/SlotDesks.kt
+++ b/daemon/src/main/kotlin/io/primroseflow/daemon/entry/SlotDesks.kt
@@ -8,7 +8,6 @@
 import io.primroseflow.fleet.FleetShare
 import io.primroseflow.fleet.FleetTarget
 import io.primroseflow.fleet.HeldSlot
-import io.primroseflow.fleet.QuotaTolerance
 import io.primroseflow.fleet.SlotDecision
 import io.primroseflow.fleet.SlotEnd
 import io.primroseflow.fleet.SlotTicket
@@ -19,6 +18,12 @@
 import kotlin.time.Duration.Companion.milliseconds
 import kotlinx.coroutines.CompletableDeferred
 
+/**
+ * Part of its share of each burst with which a host begins to schedule alone; the shared scheduler
+ * may have dealt out the rest just before.
+ */
+private const val LONE_BURST = 0.1
+
 /**
  * Gets slots for the requests of this host: from the shared scheduler while it is in reach, else
  * from a scheduler of its own that deals out this host's share. Belongs to one thread.
@@ -26,7 +31,6 @@
 internal class SlotDesk(
     private val self: HostId,
     private val clock: Clock,
-    private val tolerance: QuotaTolerance,
     private val log: EventLog
 ) {
     private class Waiting(val wish: SlotWish, val answer: CompletableDeferred<SlotDecision>)
@@ -35,7 +39,7 @@
 
     private val waiting = LinkedHashMap<Long, Waiting>()
     private val held = LinkedHashMap<Long, Held>()
-    private var local: FleetScheduler? = FleetScheduler(tolerance = tolerance)
+    private var local: FleetScheduler? = FleetScheduler()
     private var policy: RoutedPolicy? = null
     private var lastTicket = 0L
 
@@ -133,8 +137,9 @@
     /** Goes on with this host's own share, as one of [hosts]. */
     fun onDetached(hosts: Int) {
         val now = clock.now()
-        val own = FleetScheduler(FleetShare(hosts.coerceAtLeast(1)), tolerance)
+        val own = FleetScheduler(FleetShare(hosts.coerceAtLeast(1)))
         policy?.let { own.updatePolicy(it, now) }
+        own.limitQuotas(LONE_BURST, now)
         local = own
         own.updateTargets(targets, now)
         val slots = held.values.map { HeldSlot(it.wish, it.target.id) }
--- a/daemon/src/main/kotlin/io/primroseflow/daemon/fleet/RoutedPolicyInForce.kt
+++ b/daemon/src/main/kotlin/io/primroseflow/daemon/fleet/RoutedPolicyInForce.kt
@@ -64,7 +64,7 @@
             "revision" to offered.head.revision,
             "before" to before,
             "routes" to policy.routes.size,
-            "teams" to policy.teams.size
+            "team_priorities" to policy.teams.values.map { "${it.id}=${it.priority}" }
         )
     }
 }
--- a/daemon/src/main/kotlin/io/primroseflow/daemon/fleet/SharedSchedulers.kt
+++ b/daemon/src/main/kotlin/io/primroseflow/daemon/fleet/SharedSchedulers.kt
@@ -30,7 +30,7 @@
 private val HOST_KNOWN_FOR: Duration = 15.seconds
 
 /** Part of each quota's burst that a scheduler starts with when it takes over. */
-private const val TAKEOVER_BURST = 0.5
+private const val TAKEOVER_BURST = 0.25
 
 /** Who schedules at present. */
 internal data class Leadership(val term: Long, val leader: HostId?, val replicas: List<HostId>)
--- a/daemon/src/test/kotlin/io/primroseflow/daemon/entry/RoutedFixture.kt
+++ b/daemon/src/test/kotlin/io/primroseflow/daemon/entry/RoutedFixture.kt
@@ -174,7 +174,6 @@
         leaseLimit = lease,
         grace = 6.seconds,
         repeatBounds = RepeatBounds(allowance = 100)
-    , quotaTolerance = tolerance
     )
     private val entry = EntryHost(
         settings,
