--- a/core/src/main/kotlin/io/primroseflow/fleet/FleetScheduler.kt
+++ b/core/src/main/kotlin/io/primroseflow/fleet/FleetScheduler.kt
@@ -357,11 +357,7 @@
         return WishWork(wish, output, millis * service.pace)
     }
 
-    private fun hopelessOrNull(
-        service: ServiceState,
-        work: WishWork,
-        now: Instant
-    ): SlotDecision? {
+    private fun hopelessOrNull(service: ServiceState, work: WishWork, now: Instant): SlotDecision? {
         val wish = work.wish
         if (!isListKnown) return null
         if (service.targets.all.none { !it.target.isLeaving }) {
--- a/core/src/main/kotlin/io/primroseflow/fleet/FleetTargets.kt
+++ b/core/src/main/kotlin/io/primroseflow/fleet/FleetTargets.kt
@@ -170,7 +170,6 @@
         val kept = wish.parts.takeWhile { it.id in parts.keys }.sumOf { it.tokens }
         return (wish.promptTokens - kept).coerceAtLeast(0)
     }
-
 }
 
 /**
--- a/core/src/test/kotlin/io/primroseflow/consensus/GroupPlanTest.kt
+++ b/core/src/test/kotlin/io/primroseflow/consensus/GroupPlanTest.kt
@@ -18,7 +18,8 @@
 
 class GroupPlanTest :
     DescribeSpec({
-        val plan = GroupPlan(HostId("a"), GroupSettings(voters = 3)) { it.value.substringBefore('~') }
+        val plan =
+            GroupPlan(HostId("a"), GroupSettings(voters = 3)) { it.value.substringBefore('~') }
 
         fun step(
             voters: Set<HostId>,
--- a/core/src/test/kotlin/io/primroseflow/consensus/ReplicaTest.kt
+++ b/core/src/test/kotlin/io/primroseflow/consensus/ReplicaTest.kt
@@ -52,6 +52,18 @@
 
 class ReplicaTest :
     DescribeSpec({
+        describe("a message with entries") {
+            it("is bounded by bytes, so that heartbeats do not wait behind it") {
+                val leader = electedLeader()
+                leader.confirm(b, index = 1)
+                repeat(20) { leader.propose(CommandBytes(ByteArray(100_000))) }
+                val sizes = leader.effects().messages.map { it.message }
+                    .filterIsInstance<ReplicaMessage.AppendRequest>()
+                    .map { request -> request.entries.sumOf { it.size } }
+                sizes.max() shouldBe 100_000
+            }
+        }
+
         describe("a vote") {
             it("is given once in a term") {
                 val voter = replica()
--- a/core/src/test/kotlin/io/primroseflow/fleet/FleetSchedulerTest.kt
+++ b/core/src/test/kotlin/io/primroseflow/fleet/FleetSchedulerTest.kt
@@ -152,7 +152,11 @@
                     val wish = wishes.next(at = now)
                     scheduler.submit(wish, now).granted() shouldHaveSize 1
                     val isFailing = round % 9 < 4
-                    scheduler.ended(wish.ticket, if (isFailing) SlotEnd.Failed else served(300), now)
+                    scheduler.ended(
+                        wish.ticket,
+                        if (isFailing) SlotEnd.Failed else served(300),
+                        now
+                    )
                 }
                 val now = start + 3.seconds
                 List(6) { scheduler.submit(wishes.next(at = now), now) }.flatten()
--- a/daemon/src/main/kotlin/io/primroseflow/daemon/control/ControlHosts.kt
+++ b/daemon/src/main/kotlin/io/primroseflow/daemon/control/ControlHosts.kt
@@ -224,7 +224,7 @@
             plan = plan
         )
         val client: ControlClient = ControlClient(clock, links::send, seedHosts())
-        val scheduler: SharedScheduler = 
+        val scheduler: SharedScheduler =
             SharedScheduler(this, policy, clock, settings.quotaTolerance, log)
         private val watch: DirectoryWatch = DirectoryWatch(
             directory = directory,
@@ -318,8 +318,7 @@
             }
         }
 
-        private fun hasHistory(): Boolean =
-            !replica.isNewborn && replica.status.term.number > 0
+        private fun hasHistory(): Boolean = !replica.isNewborn && replica.status.term.number > 0
 
         private inner class Listener : ReplicaListener {
             override fun send(to: HostId, message: ReplicaMessage) =
--- a/daemon/src/main/kotlin/io/primroseflow/daemon/entry/RequestRelays.kt
+++ b/daemon/src/main/kotlin/io/primroseflow/daemon/entry/RequestRelays.kt
@@ -220,28 +220,25 @@
         return FIRST_EVENT_LIMIT + FIRST_EVENT_PER_TOKEN * (request.traits.promptTokens ?: 0)
     }
 
-    private fun slotEnd(
-        result: ExchangeResult,
-        start: Instant,
-        listener: Listener
-    ): SlotEnd = when (result) {
-        is ExchangeResult.NotRun -> SlotEnd.NotRun(result.isUnreachable)
-
-        is ExchangeResult.Failed -> SlotEnd.Lost
-
-        is ExchangeResult.Whole ->
-            if (result.head.status >= FIRST_SERVER_ERROR) {
-                SlotEnd.Failed
-            } else {
-                served(start, clock.now(), tokens = 0)
-            }
+    private fun slotEnd(result: ExchangeResult, start: Instant, listener: Listener): SlotEnd =
+        when (result) {
+            is ExchangeResult.NotRun -> SlotEnd.NotRun(result.isUnreachable)
 
-        is ExchangeResult.Streamed -> served(
-            start,
-            listener.firstAt ?: clock.now(),
-            result.events * request.service.eventTokens
-        )
-    }
+            is ExchangeResult.Failed -> SlotEnd.Lost
+
+            is ExchangeResult.Whole ->
+                if (result.head.status >= FIRST_SERVER_ERROR) {
+                    SlotEnd.Failed
+                } else {
+                    served(start, clock.now(), tokens = 0)
+                }
+
+            is ExchangeResult.Streamed -> served(
+                start,
+                listener.firstAt ?: clock.now(),
+                result.events * request.service.eventTokens
+            )
+        }
 
     private fun served(start: Instant, first: Instant, tokens: Int) = SlotEnd.Served(
         firstMillis = (first - start).inWholeMilliseconds.toInt(),
--- a/daemon/src/main/kotlin/io/primroseflow/daemon/fleet/SharedSchedulers.kt
+++ b/daemon/src/main/kotlin/io/primroseflow/daemon/fleet/SharedSchedulers.kt
@@ -197,8 +197,7 @@
         awaiting += Awaiting(from, report.number)
     }
 
-    private fun isAttached(host: HostId, at: Long) =
-        at == term && hosts[host]?.isAttached == true
+    private fun isAttached(host: HostId, at: Long) = at == term && hosts[host]?.isAttached == true
 
     /** Returns the scheduler while this host leads; starts one with each new term. */
     private fun activeOrNull(): FleetScheduler? {
--- a/daemon/src/main/kotlin/io/primroseflow/daemon/http/HttpConnections.kt
+++ b/daemon/src/main/kotlin/io/primroseflow/daemon/http/HttpConnections.kt
@@ -131,7 +131,8 @@
             fields = parsed.headers.toFields()
         )
         parsed.release()
-        val size = head.target.length + head.fields.all.sumOf { it.name.length + it.value.length + 4 }
+        val size =
+            head.target.length + head.fields.all.sumOf { it.name.length + it.value.length + 4 }
         if (size > bounds.headerBytes) {
             return Incoming.Bad(HTTP_HEADERS_TOO_LARGE, "headers are too large")
         }
--- a/daemon/src/main/kotlin/io/primroseflow/daemon/http/HttpMessages.kt
+++ b/daemon/src/main/kotlin/io/primroseflow/daemon/http/HttpMessages.kt
@@ -68,6 +68,8 @@
 
 /** Copies all fields out of this map, which can be released then. */
 internal fun HttpHeadersMap.toFields(): HttpFields {
-    val fields = offsets().map { HttpField(nameAtOffset(it).toString(), valueAtOffset(it).toString()) }
+    val fields = offsets().map {
+        HttpField(nameAtOffset(it).toString(), valueAtOffset(it).toString())
+    }
     return HttpFields(fields.toList())
 }
--- a/daemon/src/main/kotlin/io/primroseflow/daemon/target/TargetExchanges.kt
+++ b/daemon/src/main/kotlin/io/primroseflow/daemon/target/TargetExchanges.kt
@@ -162,10 +162,7 @@
             return ExchangeResult.Whole(head, body)
         }
 
-        private suspend fun readStream(
-            head: HttpAnswerHead,
-            framing: BodyFraming
-        ): ExchangeResult {
+        private suspend fun readStream(head: HttpAnswerHead, framing: BodyFraming): ExchangeResult {
             val body = framing.source(connection.input)
             val splitter = EventSplitter()
             val buffer = ByteArray(READ_SIZE)
--- /dev/null
+++ b/daemon/src/test/kotlin/io/primroseflow/daemon/control/ControlIdentitiesTest.kt
@@ -0,0 +1,48 @@
+package io.primroseflow.daemon.control
+
+import io.kotest.core.spec.style.DescribeSpec
+import io.kotest.matchers.collections.shouldBeEmpty
+import io.kotest.matchers.shouldBe
+import io.kotest.matchers.shouldNotBe
+import io.primroseflow.daemon.peer.machine
+import io.primroseflow.daemon.storage.DiskFolder
+import io.primroseflow.model.HostId
+import java.nio.file.Files
+import kotlin.random.Random
+
+private val seeds = setOf(HostId("10.0.0.1"), HostId("10.0.0.2"), HostId("10.0.0.3"))
+
+class ControlIdentitiesTest :
+    DescribeSpec({
+        fun identities(block: (ControlIdentities) -> Unit) {
+            val path = Files.createTempDirectory("identity")
+            DiskFolder(path).use { block(ControlIdentities(it, "10.0.0.1", Random(7))) }
+            path.toFile().deleteRecursively()
+        }
+
+        describe("the name of a replica") {
+            it("is that of its machine in the first group") {
+                identities { it.founder(seeds).host shouldBe HostId("10.0.0.1") }
+            }
+
+            it("stays with its disk") {
+                identities {
+                    it.findOrNull() shouldBe null
+                    val joiner = it.joiner()
+                    it.keep(joiner)
+                    it.findOrNull() shouldBe joiner
+                }
+            }
+
+            it("is a new one for an empty disk, of the same machine, without a vote") {
+                identities {
+                    val first = it.joiner()
+                    val second = it.joiner()
+                    first.host shouldNotBe second.host
+                    first.host shouldNotBe HostId("10.0.0.1")
+                    first.host.machine() shouldBe "10.0.0.1"
+                    first.initial.voters.shouldBeEmpty()
+                }
+            }
+        }
+    })
--- a/daemon/src/test/kotlin/io/primroseflow/daemon/entry/RoutedFixture.kt
+++ b/daemon/src/test/kotlin/io/primroseflow/daemon/entry/RoutedFixture.kt
@@ -125,7 +125,9 @@
 /** A control host and an entry host on loopback addresses, before [replicas]. */
 class RoutedFixture(vararg replicas: FakeReplica, lease: Duration = 5.seconds) : AutoCloseable {
     private val folder = Files.createTempDirectory("control")
-    private val worker = Executors.newScheduledThreadPool(1) { Thread(it).apply { isDaemon = true } }
+    private val worker = Executors.newScheduledThreadPool(1) {
+        Thread(it).apply { isDaemon = true }
+    }
         .asCoroutineDispatcher()
     private val scope = CoroutineScope(SupervisorJob() + worker)
     private val controlScope = CoroutineScope(SupervisorJob() + worker)
--- /dev/null
+++ b/daemon/src/test/kotlin/io/primroseflow/daemon/entry/SchedulerLinkTest.kt
@@ -0,0 +1,116 @@
+package io.primroseflow.daemon.entry
+
+import com.github.michaelbull.result.Err
+import io.kotest.core.spec.style.DescribeSpec
+import io.kotest.matchers.collections.shouldContainExactly
+import io.kotest.matchers.shouldBe
+import io.primroseflow.control.PolicyRevision
+import io.primroseflow.daemon.EventLog
+import io.primroseflow.daemon.fleet.RoutedPolicyInForce
+import io.primroseflow.daemon.peer.PeerMessage
+import io.primroseflow.model.HostId
+import kotlin.time.Clock
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+import kotlin.time.Instant
+
+private class StepClock(var time: Instant = Instant.fromEpochSeconds(1_000)) : Clock {
+    override fun now(): Instant = time
+}
+
+private val a = HostId("10.0.0.1")
+
+private val b = HostId("10.0.0.2")
+
+private class LinkFixture : SchedulerLinkListener {
+    val clock = StepClock()
+    val sent = ArrayList<Pair<HostId, PeerMessage.HostReport>>()
+    val events = ArrayList<String>()
+    private val log = EventLog("test", "test")
+    val lease = PolicyLease(5.seconds, clock, clock)
+    val link = SchedulerLink(
+        seeds = { listOf(a, b) },
+        policy = RoutedPolicyInForce({ Err(emptyList()) }, log) {},
+        lease = lease,
+        clock = clock,
+        log = log,
+        send = { to, message -> sent += to to message as PeerMessage.HostReport },
+        listener = this
+    )
+
+    override fun holdings() = HostHoldings(emptyList(), emptyList())
+
+    override fun fleetVersion() = 0L
+
+    override fun onAttached() {
+        events += "attached"
+    }
+
+    override fun onDetached() {
+        events += "detached"
+    }
+
+    fun advance(by: Duration) {
+        clock.time += by
+    }
+
+    fun reply(from: HostId, number: Long, term: Long, revision: Long = 0) = link.onReply(
+        from,
+        PeerMessage.ReportReply(number, term, PolicyRevision(revision), listOf(a, b), 3)
+    )
+
+    fun receivers() = sent.map { it.first }.also { sent.clear() }
+}
+
+class SchedulerLinkTest :
+    DescribeSpec({
+        describe("a host without a scheduler") {
+            it("asks all control hosts at once and attaches to the one that confirms") {
+                val fixture = LinkFixture()
+                fixture.link.tick()
+                fixture.receivers() shouldContainExactly listOf(a, b)
+                fixture.link.onHint(a, PeerMessage.LeaderHint(b, listOf(a, b)))
+                fixture.reply(b, number = 1, term = 4)
+                fixture.link.term shouldBe 4
+                fixture.link.tick()
+                fixture.receivers() shouldContainExactly listOf(b)
+            }
+        }
+
+        describe("a scheduler that does not answer") {
+            it("is given up, and all are asked again") {
+                val fixture = LinkFixture()
+                fixture.link.tick()
+                fixture.reply(a, number = 1, term = 1)
+                fixture.link.tick()
+                fixture.receivers()
+                fixture.advance(500.milliseconds)
+                fixture.link.tick()
+                fixture.link.isAttached shouldBe false
+                fixture.receivers() shouldContainExactly listOf(a, b)
+                fixture.events shouldContainExactly listOf("attached", "detached")
+            }
+
+            it("cannot take the host back with an older term") {
+                val fixture = LinkFixture()
+                fixture.link.tick()
+                fixture.reply(b, number = 1, term = 2)
+                fixture.link.tick()
+                fixture.reply(a, number = 2, term = 1)
+                fixture.link.term shouldBe 2
+            }
+        }
+
+        describe("the lease") {
+            it("is not renewed by an answer that names a later policy than the one in force") {
+                val fixture = LinkFixture()
+                fixture.link.tick()
+                fixture.reply(a, number = 1, term = 1, revision = 9)
+                fixture.lease.isValid shouldBe false
+                fixture.link.tick()
+                fixture.reply(a, number = 2, term = 1, revision = 0)
+                fixture.lease.isValid shouldBe true
+            }
+        }
+    })
