--- a/core/src/main/kotlin/io/primroseflow/fleet/FleetScheduler.kt
+++ b/core/src/main/kotlin/io/primroseflow/fleet/FleetScheduler.kt
@@ -64,7 +64,7 @@
     val window: Duration,
     val ratio: Double,
     val units: Double,
-    val use: Double = 0.4
+    val use: Double = 0.5
 ) {
     /** Returns the refill for which no span of [window] has more than the tolerated units. */
     internal fun rateOf(quota: TeamQuota): Double {
