Count what runs at targets that a new scheduler learns of later

Cause: a scheduler that takes over hears what hosts hold before it has read the list of targets. Those requests were not counted at their targets, but their ends were subtracted, so each target had a negative count for good and got 18 to 21 requests for its 13 slots until the next restart. Change: requests that run are counted when their target becomes known. Hosts that schedule alone divide a target's slots exactly; each took the rounded up share, 18 of 13 in sum. The scheduler tells each host its place for that. Test: FleetSchedulerTest, 'counts what hosts hold at targets that it learns of only later', seen failing before (4 grants for 1 free slot); shares of nine hosts add up to 13.

--- a/core/src/main/kotlin/io/primroseflow/fleet/FleetScheduler.kt
+++ b/core/src/main/kotlin/io/primroseflow/fleet/FleetScheduler.kt
@@ -8,10 +8,8 @@
 import io.primroseflow.routing.RoutedPolicy
 import io.primroseflow.routing.RoutedService
 import io.primroseflow.routing.ServiceId
-import io.primroseflow.routing.TeamQuota
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
-import kotlin.time.Duration.Companion.seconds
 import kotlin.time.Instant
 
 /** Weight of the newest sample in a moving average. */
@@ -38,47 +36,6 @@
 /** Wishes that are looked at behind the first one when no target fits that. */
 private const val LOOK_AHEAD = 8
 
-/**
- * The part of the fleet that a scheduler deals out.
- *
- * @property hosts hosts that deal out the same slots and quotas independently of each other
- */
-public data class FleetShare(val hosts: Int = 1) {
-    init {
-        require(hosts >= 1) { "hosts must be at least 1, was $hosts" }
-    }
-
-    internal fun slotsOf(target: FleetTarget): Int =
-        if (hosts == 1) target.slots else (target.slots + hosts - 1) / hosts
-}
-
-/**
- * How far the sum over all hosts may go beyond a quota.
- *
- * @property window any span of this length is looked at
- * @property ratio part of the quota that may be used on top
- * @property units units that may be used on top
- * @property use part of the tolerance that is used; the rest is for changes of the scheduler
- */
-public data class QuotaTolerance(
-    val window: Duration,
-    val ratio: Double,
-    val units: Double,
-    val use: Double = 0.5
-) {
-    /** Returns the refill for which no span of [window] has more than the tolerated units. */
-    internal fun rateOf(quota: TeamQuota): Double {
-        val seconds = window / 1.seconds
-        val extra = ratio * (quota.perSecond * seconds + quota.burst) + units
-        return quota.perSecond + use * extra / seconds
-    }
-
-    public companion object {
-        /** Keeps to the quotas as they are. */
-        public val NONE: QuotaTolerance = QuotaTolerance(1.seconds, ratio = 0.0, units = 0.0)
-    }
-}
-
 /** Gauges of one scheduler. */
 public data class FleetStatus(val waiting: Int, val running: Int, val targets: Int)
 
@@ -287,10 +244,16 @@
         for (id in services.keys + byService.keys) {
             val state = stateOf(id)
             state.targets.kvTokens = known[id]?.kvTokens
-            state.targets.update(byService[id].orEmpty(), share::slotsOf)
+            val added = state.targets.update(byService[id].orEmpty(), share::slotsOf)
+            for (target in added) countRunning(target)
         }
     }
 
+    /** Counts what runs at a [target] that was not known when its requests were taken over. */
+    private fun countRunning(target: TargetState) {
+        running.values.filter { it.target == target.target.id }.forEach { target.start(it.work) }
+    }
+
     private fun adopt(slot: HeldSlot, now: Instant) {
         val service = stateOf(slot.wish.service)
         val work = service.queue.remove(slot.wish.ticket) ?: workOf(service, slot.wish)
--- a/core/src/main/kotlin/io/primroseflow/fleet/FleetTargets.kt
+++ b/core/src/main/kotlin/io/primroseflow/fleet/FleetTargets.kt
@@ -192,9 +192,13 @@
 
     fun findOrNull(id: TargetId): TargetState? = states[id]
 
-    /** Takes over the listed [targets], each with the slots that [slotsOf] gives. */
-    fun update(targets: List<FleetTarget>, slotsOf: (FleetTarget) -> Int) {
+    /**
+     * Takes over the listed [targets], each with the slots that [slotsOf] gives, and returns those
+     * that were not known before.
+     */
+    fun update(targets: List<FleetTarget>, slotsOf: (FleetTarget) -> Int): List<TargetState> {
         val listed = targets.associateBy { it.id }
+        val added = targets.map { it.id }.filter { it !in states }
         for (target in targets) {
             val state = states.getOrPut(target.id) { TargetState(target, slotsOf(target)) }
             if (state.target.address != target.address) state.forgetParts()
@@ -205,6 +209,7 @@
             it.target = it.target.copy(isLeaving = true)
         }
         states.values.removeIf { it.target.id !in listed && it.inFlight == 0 }
+        return added.map(states::getValue)
     }
 
     fun chooseOrNull(work: WishWork, now: Instant): TargetState? {
--- a/core/src/test/kotlin/io/primroseflow/fleet/FleetSchedulerTest.kt
+++ b/core/src/test/kotlin/io/primroseflow/fleet/FleetSchedulerTest.kt
@@ -71,6 +71,25 @@
             }
         }
 
+        describe("the shares of hosts that schedule alone") {
+            fun granted(host: Int, target: FleetTarget): Int {
+                val share = FleetShare(hosts = 9, place = host)
+                val scheduler = scheduler(target, share = share)
+                val wishes = Wishes(HostId("h$host"))
+                return List(20) { scheduler.submit(wishes.next(), start) }.flatten().size
+            }
+
+            it("add up to the slots of each target") {
+                for (target in (1..20).map { fleetTarget("$it", 13) }) {
+                    (0..8).sumOf { granted(it, target) } shouldBe 13
+                }
+            }
+
+            it("leave each host a slot at each target") {
+                (0..8).forEach { granted(it, fleetTarget("1", 6)) shouldBe 1 }
+            }
+        }
+
         describe("the order of service") {
             it("is by rank, whatever came first") {
                 val scheduler = scheduler(fleetTarget("1"))
@@ -367,6 +386,20 @@
                     .granted() shouldContainExactly listOf(wish.ticket)
             }
 
+            it("counts what hosts hold at targets that it learns of only later") {
+                val fresh = FleetScheduler()
+                fresh.updatePolicy(fleetPolicy(), start)
+                val wishes = Wishes()
+                val held = List(3) { HeldSlot(wishes.next(), TargetId("1")) }
+                fresh.reconcile(HostId("h1"), held, emptyList(), start)
+                fresh.updateTargets(listOf(fleetTarget("1", 4)), start)
+                List(4) { fresh.submit(wishes.next(), start) }.flatten()
+                    .granted() shouldHaveSize 1
+                held.flatMap { fresh.ended(it.wish.ticket, served(300), start) }
+                    .granted() shouldHaveSize 3
+                fresh.submit(wishes.next(), start).shouldBeEmpty()
+            }
+
             it("repeats a grant that its host does not know of") {
                 val scheduler = scheduler(fleetTarget("1"))
                 val wish = Wishes().next()
--- a/daemon/src/main/kotlin/io/primroseflow/daemon/entry/EntryHosts.kt
+++ b/daemon/src/main/kotlin/io/primroseflow/daemon/entry/EntryHosts.kt
@@ -123,7 +123,7 @@
         desk = desk,
         exchanger = TargetExchanger(pool, dialect),
         log = log,
-        hostCount = { link.hostCount },
+        hostCount = { link.share.hosts },
         budgetOf = { budgets.getOrPut(it) { RepeatBudget(settings.repeatBounds) } }
     )
     private val callers = HttpListener(
@@ -390,7 +390,7 @@
 
         override fun onAttached() = desk.onAttached()
 
-        override fun onDetached() = desk.onDetached(link.hostCount)
+        override fun onDetached() = desk.onDetached(link.share)
     }
 
     private companion object {
--- a/daemon/src/main/kotlin/io/primroseflow/daemon/entry/SchedulerLinks.kt
+++ b/daemon/src/main/kotlin/io/primroseflow/daemon/entry/SchedulerLinks.kt
@@ -6,6 +6,7 @@
 import io.primroseflow.daemon.peer.PeerMessage
 import io.primroseflow.daemon.peer.WishRecord
 import io.primroseflow.daemon.peer.machine
+import io.primroseflow.fleet.FleetShare
 import io.primroseflow.model.HostId
 import kotlin.time.Clock
 import kotlin.time.Duration
@@ -66,8 +67,8 @@
     var term: Long = 0
         private set
 
-    /** Hosts that share the scheduler, as far as it said. */
-    var hostCount: Int = 1
+    /** The part of the fleet that this host deals out on its own, as the scheduler last said. */
+    var share: FleetShare = FleetShare()
         private set
 
     /** Whether a shared scheduler takes requests of this host. */
@@ -92,7 +93,7 @@
         open.removeAll { it.number <= reply.number }
         unansweredSince = if (open.isEmpty()) null else clock.now()
         replicas = reply.replicas
-        hostCount = reply.hosts.coerceAtLeast(1)
+        share = reply.share
         if (policy.revision >= reply.policy) lease.confirm(asked.asked)
         if (reply.term != term) attach(from, reply.term)
     }
--- a/daemon/src/main/kotlin/io/primroseflow/daemon/entry/SlotDesk.kt
+++ b/daemon/src/main/kotlin/io/primroseflow/daemon/entry/SlotDesk.kt
@@ -134,10 +134,10 @@
         local = null
     }
 
-    /** Goes on with this host's own share, as one of [hosts]. */
-    fun onDetached(hosts: Int) {
+    /** Goes on with this host's own [share]. */
+    fun onDetached(share: FleetShare) {
         val now = clock.now()
-        val own = FleetScheduler(FleetShare(hosts.coerceAtLeast(1)))
+        val own = FleetScheduler(share)
         policy?.let { own.updatePolicy(it, now) }
         own.limitQuotas(LONE_BURST, now)
         local = own
@@ -146,7 +146,7 @@
         deliver(own.reconcile(self, slots, waiting.values.map { it.wish }, now))
         log.warn(
             "scheduling_alone",
-            "hosts" to hosts,
+            "hosts" to share.hosts,
             "waiting" to waiting.size,
             "held" to held.size
         )
--- a/daemon/src/main/kotlin/io/primroseflow/daemon/fleet/SharedSchedulers.kt
+++ b/daemon/src/main/kotlin/io/primroseflow/daemon/fleet/SharedSchedulers.kt
@@ -7,6 +7,7 @@
 import io.primroseflow.daemon.peer.toSlot
 import io.primroseflow.daemon.peer.toWish
 import io.primroseflow.fleet.FleetScheduler
+import io.primroseflow.fleet.FleetShare
 import io.primroseflow.fleet.FleetTarget
 import io.primroseflow.fleet.QuotaTolerance
 import io.primroseflow.fleet.SlotDecision
@@ -62,7 +63,7 @@
     private val tolerance: QuotaTolerance,
     private val log: EventLog
 ) {
-    private class HostEntry(var heardAt: Instant, var report: PeerMessage.HostReport) {
+    private class HostEntry(val heardAt: Instant, val report: PeerMessage.HostReport) {
         var isAttached = true
     }
 
@@ -173,18 +174,20 @@
         val replicas = group.leadership.replicas
         group.send(
             report.host,
-            PeerMessage.ReportReply(report.number, term, revision, replicas, hosts.size)
+            PeerMessage.ReportReply(report.number, term, revision, replicas, shareOf(report.host))
         )
     }
 
+    private fun shareOf(host: HostId): FleetShare {
+        val known = (hosts.keys + host).sortedBy { it.value }
+        return FleetShare(known.size, known.indexOf(host))
+    }
+
     private fun onReport(active: FleetScheduler, from: HostId, report: PeerMessage.HostReport) {
         val now = clock.now()
-        val entry = hosts.getOrPut(from) { HostEntry(now, report) }
-        val isNew = entry.report === report || !entry.isAttached
-        entry.heardAt = now
-        entry.report = report
-        entry.isAttached = true
-        if (isNew) {
+        val wasAttached = hosts[from]?.isAttached == true
+        hosts[from] = HostEntry(now, report)
+        if (!wasAttached) {
             log.info("host_attached", "peer" to from, "term" to term, "held" to report.held.size)
             updateShares(active)
         }
--- a/daemon/src/main/kotlin/io/primroseflow/daemon/peer/PeerMessages.kt
+++ b/daemon/src/main/kotlin/io/primroseflow/daemon/peer/PeerMessages.kt
@@ -8,6 +8,7 @@
 import io.primroseflow.control.PolicyHead
 import io.primroseflow.control.PolicyRevision
 import io.primroseflow.daemon.request.HeaderField
+import io.primroseflow.fleet.FleetShare
 import io.primroseflow.fleet.FleetTarget
 import io.primroseflow.fleet.SlotEnd
 import io.primroseflow.fleet.SlotRefusal
@@ -220,7 +221,7 @@
     /**
      * Confirms the report of [number]: a quorum has confirmed that [policy] is the latest.
      *
-     * @property hosts entry hosts that the scheduler knows of
+     * @property share the part of the fleet that the receiver deals out when it is on its own
      */
     @Serializable
     @SerialName("rpy")
@@ -229,7 +230,7 @@
         @SerialName("t") val term: Long,
         @SerialName("p") val policy: PolicyRevision,
         @SerialName("c") val replicas: List<HostId>,
-        @SerialName("k") val hosts: Int
+        @SerialName("k") val share: FleetShare
     ) : Scheduling
 
     /** The receiver of a report does not schedule; [leader] is the host that may. */
--- a/daemon/src/test/kotlin/io/primroseflow/daemon/entry/SchedulerLinkTest.kt
+++ b/daemon/src/test/kotlin/io/primroseflow/daemon/entry/SchedulerLinkTest.kt
@@ -8,6 +8,7 @@
 import io.primroseflow.daemon.EventLog
 import io.primroseflow.daemon.fleet.RoutedPolicyInForce
 import io.primroseflow.daemon.peer.PeerMessage
+import io.primroseflow.fleet.FleetShare
 import io.primroseflow.model.HostId
 import kotlin.time.Clock
 import kotlin.time.Duration
@@ -57,7 +58,7 @@
 
     fun reply(from: HostId, number: Long, term: Long, revision: Long = 0) = link.onReply(
         from,
-        PeerMessage.ReportReply(number, term, PolicyRevision(revision), listOf(a, b), 3)
+        PeerMessage.ReportReply(number, term, PolicyRevision(revision), listOf(a, b), FleetShare(3))
     )
 
     fun receivers() = sent.map { it.first }.also { sent.clear() }
