Answer calls that arrive while a daemon with fixed peers closes

Cause: the stop gave its HTTP server a quiet time of 200 ms and then closed all connections, whatever came in on them. Change: the port is closed first; open connections answer the call under way with 'Connection: close' and end, idle ones end after half a second; only then the server stops. Tests: DaemonStopTest, seen failing before: 2 of 3 got an empty answer.

--- a/daemon/src/main/kotlin/io/primroseflow/daemon/Daemons.kt
+++ b/daemon/src/main/kotlin/io/primroseflow/daemon/Daemons.kt
@@ -65,6 +65,7 @@
 import kotlinx.coroutines.cancel
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
+import kotlinx.coroutines.withContext
 import kotlinx.coroutines.withTimeoutOrNull
 import org.apache.logging.log4j.LogManager
 
@@ -74,7 +75,10 @@
 /** Time that requests have for their last steps when the drain is cut short. */
 private val LAST_STEPS: Duration = 2.seconds
 
-/** Time that callers have to take the last pieces of their answers. */
+/** Time that callers have for calls under way when the port closes, and for taking answers. */
+private val LAST_ANSWERS: Duration = 2.seconds
+
+/** Time in which the servers end what operators still do. */
 private const val STOP_GRACE_MILLIS = 200L
 
 private const val STOP_TIMEOUT_MILLIS = 2_000L
@@ -224,6 +228,7 @@
         controlPlane.handOver()
         val isDrained = withTimeoutOrNull(policy.timeouts.drain) { awaitDrained() } != null
         if (!isDrained) endRemaining()
+        closeCallers()
         servers.forEach { it.stop(STOP_GRACE_MILLIS, STOP_TIMEOUT_MILLIS) }
         scope.cancel()
         controlPlane.close()
@@ -279,6 +284,15 @@
         while (registry.inProgressCount > 0) delay(DRAIN_POLL)
     }
 
+    /** Closes the port for callers, then answers what came in before that. */
+    private suspend fun closeCallers() {
+        withContext(Dispatchers.IO) { callerServer.connections.startClosing() }
+        val areClosed = withTimeoutOrNull(LAST_ANSWERS) {
+            while (callerServer.connections.count > 0) delay(DRAIN_POLL)
+        } != null
+        if (!areClosed) log.warn("{} callers are cut off", callerServer.connections.count)
+    }
+
     private suspend fun endRemaining() {
         val remaining = registry.inProgress()
         log.warn("{} requests are ended by the bound on the drain", remaining.size)
--- a/daemon/src/main/kotlin/io/primroseflow/daemon/caller/CallerServers.kt
+++ b/daemon/src/main/kotlin/io/primroseflow/daemon/caller/CallerServers.kt
@@ -19,6 +19,8 @@
 import io.ktor.server.request.path
 import io.ktor.server.response.header
 import io.ktor.server.response.respondText
+import io.netty.channel.Channel
+import io.netty.channel.ChannelInitializer
 import io.netty.handler.codec.http.HttpServerCodec
 import io.primroseflow.daemon.operator.DaemonMetrics
 import io.primroseflow.model.RequestId
@@ -47,6 +49,12 @@
 
 private const val MAX_CHUNK_SIZE = 8 * 1024
 
+/** Tells [connections] of the channel that accepts them. */
+private class PortNote(private val connections: CallerConnections) :
+    ChannelInitializer<Channel>() {
+    override fun initChannel(port: Channel) = connections.onPort(port)
+}
+
 /** Serves callers over HTTP. */
 internal class CallerServer(
     private val policy: () -> Policy,
@@ -59,7 +67,7 @@
     private val log = LogManager.getLogger(CallerServer::class.java)
 
     /** Open caller connections. */
-    val connections: ConnectionCount = ConnectionCount()
+    val connections: CallerConnections = CallerConnections()
 
     /** Creates the server for [address]; it is not started yet. */
     fun create(
@@ -72,6 +80,7 @@
                     host = address.host
                     port = address.port
                 }
+                configureBootstrap = { handler(PortNote(connections)) }
                 shareWorkGroup = true
                 workerGroupSize = CALLER_THREADS
                 connectionGroupSize = 1
--- a/daemon/src/main/kotlin/io/primroseflow/daemon/caller/ConnectionGuards.kt
+++ b/daemon/src/main/kotlin/io/primroseflow/daemon/caller/ConnectionGuards.kt
@@ -1,13 +1,16 @@
 package io.primroseflow.daemon.caller
 
+import io.netty.channel.Channel
 import io.netty.channel.ChannelDuplexHandler
 import io.netty.channel.ChannelFutureListener
 import io.netty.channel.ChannelHandlerContext
 import io.netty.channel.ChannelPromise
 import io.netty.handler.codec.http.DefaultFullHttpResponse
 import io.netty.handler.codec.http.HttpHeaderNames
+import io.netty.handler.codec.http.HttpHeaderValues
 import io.netty.handler.codec.http.HttpObject
 import io.netty.handler.codec.http.HttpRequest
+import io.netty.handler.codec.http.HttpResponse
 import io.netty.handler.codec.http.HttpResponseStatus
 import io.netty.handler.codec.http.HttpVersion
 import io.netty.handler.codec.http.LastHttpContent
@@ -18,23 +21,48 @@
 import io.primroseflow.policy.Limits
 import io.primroseflow.policy.Timeouts
 import io.primroseflow.request.Refusal
+import java.util.concurrent.ConcurrentHashMap
 import java.util.concurrent.TimeUnit
-import java.util.concurrent.atomic.AtomicInteger
 import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
 
-/** Counts the open caller connections of one host. */
-internal class ConnectionCount {
-    private val count = AtomicInteger()
+/** Time for which an idle connection may still send a call after the host closed its port. */
+private val LAST_CALL: Duration = 500.milliseconds
+
+/** The open caller connections of one host, and the port where new ones come in. */
+internal class CallerConnections {
+    private val open = ConcurrentHashMap.newKeySet<ConnectionGuard>()
+    private val ports = ConcurrentHashMap.newKeySet<Channel>()
+
+    /** Whether the port is closed and connections end with their next answer. */
+    @Volatile
+    var isClosing: Boolean = false
+        private set
 
     /** Open connections. */
-    val value: Int get() = count.get()
+    val count: Int get() = open.size
+
+    /** Takes note of the channel that accepts connections. */
+    fun onPort(port: Channel) {
+        ports += port
+    }
 
-    /** Counts a connection; returns `false` when there are more than [limit] with it. */
-    fun open(limit: Int): Boolean = count.incrementAndGet() <= limit
+    /** Adds a connection; returns `false` when there are more than [limit] with it. */
+    fun add(guard: ConnectionGuard, limit: Int): Boolean {
+        open += guard
+        return open.size <= limit
+    }
+
+    /** Removes a closed connection. */
+    fun remove(guard: ConnectionGuard) {
+        open -= guard
+    }
 
-    /** Discounts a closed connection. */
-    fun close() {
-        count.decrementAndGet()
+    /** Closes the port first, so that what comes afterwards finds it closed, then the rest. */
+    fun startClosing() {
+        isClosing = true
+        ports.forEach { it.close().syncUninterruptibly() }
+        open.forEach { it.startClosing() }
     }
 }
 
@@ -45,7 +73,7 @@
  * and answers requests that cannot be decoded.
  */
 internal class ConnectionGuard(
-    private val connections: ConnectionCount,
+    private val connections: CallerConnections,
     private val limits: () -> Limits,
     private val timeouts: () -> Timeouts
 ) : ChannelDuplexHandler() {
@@ -53,10 +81,20 @@
 
     private var phase = Phase.Idle
     private var isCounted = false
+
+    @Volatile
+    private var context: ChannelHandlerContext? = null
     private var idleTimer: ScheduledFuture<*>? = null
     private var writeTimer: ScheduledFuture<*>? = null
 
+    /** Lets the connection end: at once after its answer, or after a while without a call. */
+    fun startClosing() {
+        val ctx = context ?: return
+        ctx.executor().execute { if (phase == Phase.Idle) closeWhenIdle(ctx) }
+    }
+
     override fun handlerAdded(ctx: ChannelHandlerContext) {
+        context = ctx
         if (ctx.channel().isActive) admit(ctx)
     }
 
@@ -66,7 +104,7 @@
     }
 
     override fun channelInactive(ctx: ChannelHandlerContext) {
-        if (isCounted) connections.close()
+        if (isCounted) connections.remove(this)
         isCounted = false
         idleTimer?.cancel(false)
         writeTimer?.cancel(false)
@@ -95,9 +133,14 @@
             promise.tryFailure(java.nio.channels.ClosedChannelException())
             return
         }
+        val closes = connections.isClosing
+        if (closes && message is HttpResponse) {
+            message.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE)
+        }
         if (message is LastHttpContent && phase == Phase.Answering) {
             phase = Phase.Idle
             startIdleTimer(ctx)
+            if (closes) promise.unvoid().addListener(ChannelFutureListener.CLOSE)
         }
         ctx.write(message, promise)
     }
@@ -113,8 +156,9 @@
 
     private fun admit(ctx: ChannelHandlerContext) {
         isCounted = true
-        if (connections.open(limits().connections)) {
+        if (connections.add(this, limits().connections)) {
             startIdleTimer(ctx)
+            if (connections.isClosing) closeWhenIdle(ctx)
         } else {
             refuse(ctx, Refusal.TooManyConnections)
         }
@@ -135,6 +179,10 @@
         idleTimer = schedule(ctx, timeouts().callerIdle) { onIdle(ctx) }
     }
 
+    private fun closeWhenIdle(ctx: ChannelHandlerContext) {
+        schedule(ctx, LAST_CALL) { if (phase == Phase.Idle) ctx.close() }
+    }
+
     private fun onIdle(ctx: ChannelHandlerContext) {
         when (phase) {
             Phase.Idle -> ctx.close()
--- a/daemon/src/main/kotlin/io/primroseflow/daemon/operator/StatusReports.kt
+++ b/daemon/src/main/kotlin/io/primroseflow/daemon/operator/StatusReports.kt
@@ -32,7 +32,7 @@
     private val startedAt = clock.now()
 
     /** Open caller connections. */
-    val connections: Int get() = callerServer.connections.value
+    val connections: Int get() = callerServer.connections.count
 
     /** Requests without an outcome. */
     val inProgress: Int get() = registry.inProgressCount
--- /dev/null
+++ b/daemon/src/test/kotlin/io/primroseflow/daemon/caller/DaemonStopTest.kt
@@ -0,0 +1,86 @@
+package io.primroseflow.daemon.caller
+
+import io.kotest.core.spec.style.DescribeSpec
+import io.kotest.matchers.longs.shouldBeLessThan
+import io.kotest.matchers.shouldBe
+import io.kotest.matchers.string.shouldContain
+import io.kotest.matchers.string.shouldStartWith
+import io.primroseflow.daemon.DaemonFixture
+import io.primroseflow.daemon.FIRST_TOKEN
+import io.primroseflow.daemon.awaitTrue
+import java.net.ConnectException
+import java.net.Socket
+import kotlin.system.measureTimeMillis
+import kotlinx.coroutines.Dispatchers
+import kotlinx.coroutines.async
+import kotlinx.coroutines.coroutineScope
+import kotlinx.coroutines.delay
+
+private fun order(id: String) = "POST /orders HTTP/1.1\r\nHost: x\r\n" +
+    "Authorization: Bearer $FIRST_TOKEN\r\nX-Request-Id: $id\r\n" +
+    "Content-Length: 2\r\n\r\n{}"
+
+private fun Socket.send(text: String) {
+    getOutputStream().write(text.encodeToByteArray())
+    getOutputStream().flush()
+}
+
+private fun Socket.readAll(): String = getInputStream().readBytes().decodeToString()
+
+private suspend fun awaitPortClosed(port: Int) = awaitTrue {
+    try {
+        Socket("127.0.0.1", port).close()
+        false
+    } catch (_: ConnectException) {
+        true
+    }
+}
+
+class DaemonStopTest :
+    DescribeSpec({
+        describe("a stop") {
+            it("answers a call whose last bytes come after the port was closed") {
+                val fixture = DaemonFixture.start()
+                val text = order("late")
+                fixture.connect().use { caller ->
+                    caller.send(text.dropLast(1))
+                    awaitTrue { fixture.status().connections == 1 }
+                    coroutineScope {
+                        val stop = async(Dispatchers.IO) { fixture.stop() }
+                        awaitPortClosed(fixture.ports.caller)
+                        delay(400)
+                        caller.send(text.takeLast(1))
+                        val answer = caller.readAll()
+                        answer shouldStartWith "HTTP/1.1 503 "
+                        answer shouldContain "host_stopping"
+                        answer.lowercase() shouldContain "connection: close"
+                        stop.await()
+                    }
+                }
+            }
+
+            it("answers a first call on a connection that was open before") {
+                val fixture = DaemonFixture.start()
+                fixture.connect().use { caller ->
+                    awaitTrue { fixture.status().connections == 1 }
+                    coroutineScope {
+                        val stop = async(Dispatchers.IO) { fixture.stop() }
+                        awaitPortClosed(fixture.ports.caller)
+                        delay(100)
+                        caller.send(order("first"))
+                        caller.readAll() shouldContain "host_stopping"
+                        stop.await()
+                    }
+                }
+            }
+
+            it("does not wait for callers that send nothing") {
+                val fixture = DaemonFixture.start()
+                fixture.connect().use { caller ->
+                    awaitTrue { fixture.status().connections == 1 }
+                    measureTimeMillis { fixture.stop() } shouldBeLessThan 1_500
+                    caller.readAll() shouldBe ""
+                }
+            }
+        }
+    })
