Serve metrics of routed hosts; count log lines that are left out

Cause: operators had only logs of entry and control hosts, and lines that the bounded buffer dropped were not counted anywhere. Admission has moved out of EntryHosts.kt. Besides: a control host reads the list of targets as soon as it leads (it looked every 500 ms) and uses no list from an earlier term that is older than a second.

--- a/daemon/src/main/kotlin/io/primroseflow/daemon/RoutedProcesses.kt
+++ b/daemon/src/main/kotlin/io/primroseflow/daemon/RoutedProcesses.kt
@@ -15,6 +15,8 @@
 import io.primroseflow.daemon.http.HttpField
 import io.primroseflow.daemon.http.HttpListener
 import io.primroseflow.daemon.http.serviceBounds
+import io.primroseflow.daemon.operator.MetricPage
+import io.primroseflow.daemon.operator.metricsListener
 import io.primroseflow.daemon.storage.DiskFolder
 import io.primroseflow.daemon.target.BodyFraming
 import io.primroseflow.daemon.target.TargetPool
@@ -123,6 +125,7 @@
  * Settings of a control process.
  *
  * @property voters replicas that the control group aims for
+ * @property metricsPort port at which metrics are served, `null` for none
  */
 public data class ControlProcessSettings(
     val address: String,
@@ -133,7 +136,8 @@
     val isFirstStart: Boolean,
     val dataFolder: Path,
     val voters: Int,
-    val quotaTolerance: QuotaTolerance
+    val quotaTolerance: QuotaTolerance,
+    val metricsPort: Int? = null
 )
 
 /** The thread, selector and logs that the tasks of one process share. */
@@ -213,6 +217,14 @@
     }
     frame.run {
         listener.listen(settings.address, settings.operatorPort)
+        settings.metricsPort?.let { port ->
+            val page = MetricPage().apply {
+                addDroppedLines()
+                host.addGauges(this)
+            }
+            metricsListener(frame.selector, frame.scope, frame.log, page)
+                .listen(settings.address, port)
+        }
         frame.scope.launch {
             val error = host.run()
             frame.log.warn("storage_unusable", "cause" to error)
--- a/daemon/src/main/kotlin/io/primroseflow/daemon/control/ControlHosts.kt
+++ b/daemon/src/main/kotlin/io/primroseflow/daemon/control/ControlHosts.kt
@@ -23,6 +23,7 @@
 import io.primroseflow.daemon.fleet.SharedScheduler
 import io.primroseflow.daemon.fleet.TargetDirectory
 import io.primroseflow.daemon.fleet.documentSource
+import io.primroseflow.daemon.operator.MetricPage
 import io.primroseflow.daemon.peer.ControlQuery
 import io.primroseflow.daemon.peer.ControlReply
 import io.primroseflow.daemon.peer.PeerLinks
@@ -152,6 +153,22 @@
         return reply.policy?.let { PolicyAnswer.Current(it.source.base) } ?: PolicyAnswer.Absent
     }
 
+    /** Adds the gauges of this host to [page]. */
+    fun addGauges(page: MetricPage) {
+        fun gauge(name: String, help: String, value: RunningReplica.() -> Number?) =
+            page.gauge("control_$name", help) { running?.value() ?: 0 }
+        gauge("leader", "1 while this host leads the control group") { if (isLeader) 1 else 0 }
+        gauge("term", "Term of the control group") { replica.status.term.number }
+        gauge("voters", "Voting replicas of the control group") {
+            replica.status.membership.voters.size
+        }
+        gauge("policy_revision", "Policy in force at this host") { policy.revision.number }
+        gauge("hosts", "Entry hosts that report to this scheduler") { scheduler.attachedHosts }
+        gauge("waiting", "Requests that wait for a slot") { scheduler.status?.waiting }
+        gauge("running", "Requests that hold a slot") { scheduler.status?.running }
+        gauge("targets", "Targets that the scheduler knows") { scheduler.status?.targets }
+    }
+
     /** Hands leadership over before a planned stop. */
     fun handOver() {
         running?.replica?.handOver()
--- a/daemon/src/main/kotlin/io/primroseflow/daemon/entry/EntryHosts.kt
+++ b/daemon/src/main/kotlin/io/primroseflow/daemon/entry/EntryHosts.kt
@@ -7,7 +7,6 @@
 import io.primroseflow.daemon.fleet.Dialect
 import io.primroseflow.daemon.fleet.DirectoryWatch
 import io.primroseflow.daemon.fleet.PolicyDecoder
-import io.primroseflow.daemon.fleet.RequestTraits
 import io.primroseflow.daemon.fleet.RoutedPolicyInForce
 import io.primroseflow.daemon.fleet.TargetDirectory
 import io.primroseflow.daemon.http.HttpConnection
@@ -15,6 +14,7 @@
 import io.primroseflow.daemon.http.HttpListener
 import io.primroseflow.daemon.http.Incoming
 import io.primroseflow.daemon.http.serviceBounds
+import io.primroseflow.daemon.operator.metricsListener
 import io.primroseflow.daemon.peer.PeerLinks
 import io.primroseflow.daemon.peer.PeerMessage
 import io.primroseflow.daemon.peer.machine
@@ -24,12 +24,8 @@
 import io.primroseflow.limits.RepeatBudget
 import io.primroseflow.model.DataCentreId
 import io.primroseflow.model.HostId
-import io.primroseflow.routing.RouteTable
 import io.primroseflow.routing.RoutedPolicy
-import io.primroseflow.routing.RoutedTeam
 import io.primroseflow.routing.ServiceId
-import io.primroseflow.routing.ServiceRoute
-import io.primroseflow.routing.chooseFor
 import io.primroseflow.timeline.HybridClock
 import kotlin.time.Clock
 import kotlin.time.Duration
@@ -68,6 +64,7 @@
  * @property seeds IP addresses of some control hosts; may change while the host runs
  * @property leaseLimit time for which a confirmation of the policy holds
  * @property grace time that a planned stop may take
+ * @property metricsPort port at which metrics are served, `null` for none
  */
 public data class EntryHostSettings(
     val address: String,
@@ -78,7 +75,8 @@
     val seeds: () -> Set<String>,
     val leaseLimit: Duration,
     val grace: Duration,
-    val repeatBounds: RepeatBounds
+    val repeatBounds: RepeatBounds,
+    val metricsPort: Int? = null
 )
 
 /** An entry host: takes requests, owns them until their end, and keeps its policy current. */
@@ -142,6 +140,10 @@
         onList = { desk.onTargets(version = 0, it) }
     )
     private var stoppingSince: Instant? = null
+    private val metrics = EntryMetrics()
+    private val admissions = RequestAdmissions(policy, lease) { at ->
+        stoppingSince?.let { at - it > TAKE_WHILE_STOPPING } == true
+    }
 
     /** Whether new callers should come to this host. */
     val isReady: Boolean
@@ -154,6 +156,18 @@
         links.listen(settings.address, settings.peerPort)
         callers.listen(settings.address, settings.callerPort)
         health.listen(settings.address, settings.readyPort)
+        metrics.addGauges(
+            "waiting" to { desk.waitingCount },
+            "holding_slots" to { desk.heldCount },
+            "caller_connections" to { callers.connectionCount },
+            "targets" to { desk.targets.size },
+            "ready" to { if (isReady) 1 else 0 },
+            "shared_scheduler" to { if (link.isAttached) 1 else 0 },
+            "policy_revision" to { policy.revision.number }
+        )
+        settings.metricsPort?.let {
+            metricsListener(selector, scope, log, metrics.page).listen(settings.address, it)
+        }
         every(REPORT_INTERVAL) { link.tick() }
         every(DESK_TICK) { desk.tick() }
         every(TRIM_INTERVAL) { pool.trim(desk.targets.mapTo(HashSet()) { it.address }) }
@@ -224,9 +238,9 @@
         val arrivedAt = clock.now()
         val traits = dialect.readRequest(request.head.fields)
         val closes = callers.isDraining || !request.head.keepsConnection
-        return when (val admission = admit(request, traits, arrivedAt)) {
+        return when (val admission = admissions.admit(request, traits, arrivedAt)) {
             is Admission.Refused -> {
-                logRefusal(traits.id, admission)
+                noteRefusal(traits.id, admission)
                 refuse(connection, admission.refusal, null, traits.id, closes)
                 !closes
             }
@@ -235,65 +249,6 @@
         }
     }
 
-    private sealed interface Admission {
-        class Refused(val refusal: EntryRefusal, val detail: String? = null) : Admission
-
-        class Admitted(val request: RoutedRequest) : Admission
-    }
-
-    private fun admit(
-        incoming: Incoming.Request,
-        traits: RequestTraits,
-        arrivedAt: Instant
-    ): Admission {
-        val since = stoppingSince
-        if (since != null && arrivedAt - since > TAKE_WHILE_STOPPING) {
-            return Admission.Refused(EntryRefusal.HostStopping)
-        }
-        val table = policy.table ?: return Admission.Refused(EntryRefusal.NoPolicy)
-        val head = incoming.head
-        val route = table.findOrNull(head.fields.findOrNull("Host").orEmpty(), head.path)
-        val needsTeam = table.needsCredentials && route?.isPublic != true
-        if ((route == null || needsTeam) && !lease.isValid) {
-            return Admission.Refused(EntryRefusal.PolicyUnconfirmed)
-        }
-        if (route == null) return Admission.Refused(EntryRefusal.NoRoute, head.path)
-        val team = if (needsTeam) table.teamOrNull(traits.credential) else null
-        if (needsTeam && team == null) return Admission.Refused(EntryRefusal.UnknownCredential)
-        return admitted(incoming, traits, table, route, team, arrivedAt)
-    }
-
-    private fun admitted(
-        incoming: Incoming.Request,
-        traits: RequestTraits,
-        table: RouteTable,
-        route: ServiceRoute,
-        team: RoutedTeam?,
-        arrivedAt: Instant
-    ): Admission {
-        val service = table.policy.services[route.split.chooseFor(traits.id.orEmpty())]
-            ?: return Admission.Refused(EntryRefusal.NoTarget)
-        val prompt = traits.promptTokens
-        val output = traits.outputLimit
-        val cost = when {
-            prompt != null && output != null -> prompt.toLong() + output
-            else -> team?.quota?.plainCost ?: 0
-        }
-        val timeLeft = minOf(traits.timeLeft ?: route.timeout, route.timeout)
-        return Admission.Admitted(
-            RoutedRequest(
-                incoming = incoming,
-                traits = traits,
-                route = route,
-                service = service,
-                team = team,
-                cost = cost,
-                arrivedAt = arrivedAt,
-                deadline = arrivedAt + timeLeft
-            )
-        )
-    }
-
     private suspend fun relay(
         request: RoutedRequest,
         connection: HttpConnection,
@@ -316,6 +271,7 @@
             watcher.cancel()
         }
         val ended = end
+        metrics.observeEnd(request, relay, outcomeOf(ended, hasLeft), clock.now())
         logEnd(request, relay, ended, hasLeft)
         if (hasLeft || ended == null || ended is RelayEnd.Broken) return false
         if (ended is RelayEnd.Refused) {
@@ -341,7 +297,8 @@
         connection.respond(refusal.status, fields, refusal.body(), closes)
     }
 
-    private fun logRefusal(id: String?, admission: Admission.Refused) {
+    private fun noteRefusal(id: String?, admission: Admission.Refused) {
+        metrics.countTurnedAway(admission.refusal)
         log.info(
             "request_refused",
             "request" to id,
@@ -351,6 +308,13 @@
         )
     }
 
+    private fun outcomeOf(end: RelayEnd?, hasLeft: Boolean): String = when (end) {
+        null -> "caller_left"
+        is RelayEnd.Answered -> if (hasLeft) "caller_left" else "answered ${end.status}"
+        is RelayEnd.Refused -> end.refusal.code
+        is RelayEnd.Broken -> "broken"
+    }
+
     private fun logEnd(
         request: RoutedRequest,
         relay: RequestRelay,
@@ -358,16 +322,10 @@
         hasLeft: Boolean
     ) {
         val now = clock.now()
-        val outcome = when (end) {
-            null -> "caller_left"
-            is RelayEnd.Answered -> if (hasLeft) "caller_left" else "answered ${end.status}"
-            is RelayEnd.Refused -> end.refusal.code
-            is RelayEnd.Broken -> "broken"
-        }
         log.info(
             "request_ended",
             "request" to request.traits.id,
-            "outcome" to outcome,
+            "outcome" to outcomeOf(end, hasLeft),
             "cause" to relay.cause.ifEmpty { null },
             "route" to request.route.id,
             "team" to request.team?.id,
--- a/daemon/src/main/kotlin/io/primroseflow/daemon/fleet/SharedSchedulers.kt
+++ b/daemon/src/main/kotlin/io/primroseflow/daemon/fleet/SharedSchedulers.kt
@@ -8,6 +8,7 @@
 import io.primroseflow.daemon.peer.toWish
 import io.primroseflow.fleet.FleetScheduler
 import io.primroseflow.fleet.FleetShare
+import io.primroseflow.fleet.FleetStatus
 import io.primroseflow.fleet.FleetTarget
 import io.primroseflow.fleet.QuotaTolerance
 import io.primroseflow.fleet.SlotDecision
@@ -30,6 +31,9 @@
 /** Time for which a silent host may still use its own share of the quotas. */
 private val HOST_KNOWN_FOR: Duration = 15.seconds
 
+/** Age up to which a list of targets from an earlier term is used; targets may have left since. */
+private val LIST_TRUSTED_FOR: Duration = 1.seconds
+
 /** Part of each quota's burst that a scheduler starts with when it takes over. */
 private const val TAKEOVER_BURST = 0.25
 
@@ -73,9 +77,16 @@
     private var scheduler: FleetScheduler? = null
     private var fleet = FleetList(0, emptyList())
     private var hasFleet = false
+    private var listedAt = Instant.DISTANT_PAST
     private val hosts = HashMap<HostId, HostEntry>()
     private var awaiting = ArrayList<Awaiting>()
 
+    /** Gauges of the scheduler, `null` while this host does not lead. */
+    val status: FleetStatus? get() = scheduler?.status()
+
+    /** Entry hosts that report to the scheduler. */
+    val attachedHosts: Int get() = hosts.values.count { it.isAttached }
+
     /** Takes over [policy], which is in force from now on. */
     fun onPolicy(policy: RoutedPolicy) {
         scheduler?.updatePolicy(policy, clock.now())
@@ -93,6 +104,7 @@
     fun onList(targets: List<FleetTarget>) {
         val hadFleet = hasFleet
         hasFleet = true
+        listedAt = clock.now()
         if (hadFleet && targets == fleet.targets) return
         val changes = describeChanges(fleet.targets, targets)
         fleet = FleetList(maxOf(fleet.version + 1, clock.now().toEpochMilliseconds()), targets)
@@ -224,10 +236,15 @@
         val now = clock.now()
         val fresh = FleetScheduler(tolerance = tolerance)
         policy.table?.let { fresh.updatePolicy(it.policy, now) }
+        if (now - listedAt > LIST_TRUSTED_FOR) hasFleet = false
         if (hasFleet) fresh.updateTargets(fleet.targets, now)
         fresh.limitQuotas(TAKEOVER_BURST, now)
         scheduler = fresh
-        log.info("scheduler_started", "term" to term, "targets" to fleet.targets.size)
+        log.info(
+            "scheduler_started",
+            "term" to term,
+            "targets" to if (hasFleet) fleet.targets.size else "unknown"
+        )
         return fresh
     }
 
--- a/daemon/src/main/kotlin/io/primroseflow/daemon/fleet/TargetDirectories.kt
+++ b/daemon/src/main/kotlin/io/primroseflow/daemon/fleet/TargetDirectories.kt
@@ -20,6 +20,9 @@
 /** Time between two reads of the list by the host that reads it for all. */
 internal val READ_INTERVAL: Duration = 500.milliseconds
 
+/** Time between two looks at whether reading the list has become this host's task. */
+private val DUE_CHECK_INTERVAL: Duration = 50.milliseconds
+
 /** The list of targets with a version that grows with every change. */
 internal data class FleetList(val version: Long, val targets: List<FleetTarget>)
 
@@ -40,8 +43,12 @@
     /** Runs until cancelled. */
     suspend fun run() {
         while (true) {
-            if (isDue()) readOnce()
-            delay(interval)
+            if (isDue()) {
+                readOnce()
+                delay(interval)
+            } else {
+                delay(DUE_CHECK_INTERVAL)
+            }
         }
     }
 
--- /dev/null
+++ b/daemon/src/main/kotlin/io/primroseflow/daemon/operator/MetricPages.kt
@@ -0,0 +1,86 @@
+package io.primroseflow.daemon.operator
+
+import io.ktor.network.selector.SelectorManager
+import io.primroseflow.daemon.EventLog
+import io.primroseflow.daemon.http.HttpField
+import io.primroseflow.daemon.http.HttpListener
+import io.primroseflow.daemon.http.serviceBounds
+import io.prometheus.metrics.core.metrics.Counter
+import io.prometheus.metrics.core.metrics.CounterWithCallback
+import io.prometheus.metrics.core.metrics.GaugeWithCallback
+import io.prometheus.metrics.core.metrics.Histogram
+import io.prometheus.metrics.expositionformats.PrometheusTextFormatWriter
+import io.prometheus.metrics.model.registry.PrometheusRegistry
+import java.io.ByteArrayOutputStream
+import kotlinx.coroutines.CoroutineScope
+
+private const val METRICS_PATH = "/metrics"
+
+private const val PREFIX = "primroseflow_"
+
+private const val OK = 200
+
+private const val NOT_FOUND = 404
+
+/** The metrics of one process as a page in the Prometheus text format. */
+internal class MetricPage {
+    private val registry = PrometheusRegistry()
+
+    /** Adds a counter with [labels]. */
+    fun counter(name: String, help: String, vararg labels: String): Counter =
+        Counter.builder().name(PREFIX + name).help(help).labelNames(*labels).register(registry)
+
+    /** Adds a histogram of seconds with the given upper [bounds]. */
+    fun histogram(name: String, help: String, bounds: DoubleArray, vararg labels: String) =
+        Histogram.builder()
+            .name(PREFIX + name)
+            .help(help)
+            .labelNames(*labels)
+            .classicUpperBounds(*bounds)
+            .register(registry)
+
+    /** Adds a gauge that is read from [value] at every scrape. */
+    fun gauge(name: String, help: String, value: () -> Number) {
+        GaugeWithCallback.builder()
+            .name(PREFIX + name)
+            .help(help)
+            .callback { it.call(value().toDouble()) }
+            .register(registry)
+    }
+
+    /** Adds a counter that is kept elsewhere and read from [value] at every scrape. */
+    fun counted(name: String, help: String, value: () -> Long) {
+        CounterWithCallback.builder()
+            .name(PREFIX + name)
+            .help(help)
+            .callback { it.call(value().toDouble()) }
+            .register(registry)
+    }
+
+    /** Adds the count of log lines that were left out. */
+    fun addDroppedLines() {
+        val help = "Log lines left out since the buffer was full"
+        counted("log_lines_dropped_total", help) { EventLog.droppedLines }
+    }
+
+    /** Returns the page. */
+    fun render(): ByteArray {
+        val output = ByteArrayOutputStream()
+        PrometheusTextFormatWriter.create().write(output, registry.scrape())
+        return output.toByteArray()
+    }
+}
+
+/** Creates a listener that serves [page]; it does not listen yet. */
+internal fun metricsListener(
+    selector: SelectorManager,
+    scope: CoroutineScope,
+    log: EventLog,
+    page: MetricPage
+): HttpListener = HttpListener(selector, scope, log, { serviceBounds }) { request, connection ->
+    val isKnown = request.head.path == METRICS_PATH
+    val type = listOf(HttpField("Content-Type", "text/plain; version=0.0.4; charset=utf-8"))
+    val body = if (isKnown) page.render() else ByteArray(0)
+    connection.respond(if (isKnown) OK else NOT_FOUND, type, body, closes = false)
+    request.head.keepsConnection
+}
--- a/daemon/src/test/kotlin/io/primroseflow/daemon/entry/RoutedFixture.kt
+++ b/daemon/src/test/kotlin/io/primroseflow/daemon/entry/RoutedFixture.kt
@@ -175,7 +175,8 @@
         seeds = { setOf(CONTROL) },
         leaseLimit = lease,
         grace = 6.seconds,
-        repeatBounds = RepeatBounds(allowance = 100)
+        repeatBounds = RepeatBounds(allowance = 100),
+        metricsPort = freePort()
     )
     private val entry = EntryHost(
         settings,
@@ -210,6 +211,9 @@
 
     fun readiness(): Int = status("/ready", settings.readyPort)
 
+    /** Returns the metrics of the entry host. */
+    fun metrics(): String = get("/metrics", checkNotNull(settings.metricsPort))
+
     /** Connects as a caller. */
     fun connect(): Socket = Socket(ENTRY, settings.callerPort).apply { soTimeout = 20_000 }
 
@@ -233,12 +237,14 @@
         folder.toFile().deleteRecursively()
     }
 
-    private fun status(path: String, port: Int): Int = Socket(ENTRY, port).use {
+    private fun status(path: String, port: Int): Int =
+        get(path, port).split(' ').getOrNull(1)?.toIntOrNull() ?: 0
+
+    private fun get(path: String, port: Int): String = Socket(ENTRY, port).use {
         it.soTimeout = 5_000
         val request = "GET $path HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n"
         it.getOutputStream().write(request.toByteArray())
-        val answer = it.getInputStream().readAllBytes().decodeToString()
-        answer.split(' ').getOrNull(1)?.toIntOrNull() ?: 0
+        it.getInputStream().readAllBytes().decodeToString()
     }
 }
 
--- a/daemon/src/test/kotlin/io/primroseflow/daemon/entry/RoutedHostsTest.kt
+++ b/daemon/src/test/kotlin/io/primroseflow/daemon/entry/RoutedHostsTest.kt
@@ -32,6 +32,23 @@
             replicas.forEach { it.close() }
         }
 
+        describe("the metrics") {
+            it("count requests by how they ended, without names of callers or requests") {
+                system(FakeReplica(serves)) {
+                    call("/safe/1", id = "secret-id")
+                    call("/nowhere", id = "other-id")
+                    await { "outcome=\"answered 200\"" in metrics() }
+                    val page = metrics()
+                    page shouldContain "primroseflow_turned_away_total{reason=\"no_route\"} 1.0"
+                    page shouldContain "primroseflow_phase_seconds_bucket"
+                    page shouldContain "primroseflow_log_lines_dropped_total"
+                    page shouldContain "primroseflow_entry_shared_scheduler 1.0"
+                    page shouldNotContain "secret-id"
+                    page shouldNotContain "key\""
+                }
+            }
+        }
+
         describe("a host that knows no policy") {
             it("says that the request was not run, never that there is no route") {
                 RoutedFixture().use {
