Explain a request from the logs of all processes

primroseflow explain ID LOG... merges the lines of one request with what its hosts believed around it, the cause last, as text or JSON; 'all' sums a folder of logs up.

--- a/cli/src/main/kotlin/io/primroseflow/cli/Main.kt
+++ b/cli/src/main/kotlin/io/primroseflow/cli/Main.kt
@@ -14,7 +14,8 @@
         TimelineCommand(),
         DrainCommand(),
         MembersCommand(),
-        CredentialsCommand()
+        CredentialsCommand(),
+        ExplainCommand()
     )
     val code = try {
         parser.parse(if (arguments.isEmpty()) arrayOf("--help") else arguments)
