Let lower work that is due sooner go first while higher work can wait

Streams waited up to 3.2 s, until their callers left (374 of 3,353 questions), and requests were granted just as their aim passed, since the time to read the prompt was not counted. Ruled out: engines (first events 15 to 30 ms after the grant).

--- a/core/src/main/kotlin/io/primroseflow/fleet/FleetModel.kt
+++ b/core/src/main/kotlin/io/primroseflow/fleet/FleetModel.kt
@@ -46,6 +46,7 @@
  * @property parts parts of the prompt in order
  * @property excluded targets that the request was sent to before
  * @property goal time by which the answer should begin
+ * @property startBy time by which the answer must begin, since the caller leaves then
  * @property deadline time after which the answer is of no use
  */
 public data class SlotWish(
@@ -64,6 +65,7 @@
     val excluded: Set<TargetId>,
     val arrivedAt: Instant,
     val goal: Instant,
+    val startBy: Instant,
     val deadline: Instant
 )
 
--- a/core/src/main/kotlin/io/primroseflow/fleet/FleetScheduler.kt
+++ b/core/src/main/kotlin/io/primroseflow/fleet/FleetScheduler.kt
@@ -8,6 +8,7 @@
 import io.primroseflow.routing.RoutedPolicy
 import io.primroseflow.routing.RoutedService
 import io.primroseflow.routing.ServiceId
+import java.util.TreeMap
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Instant
@@ -33,6 +34,9 @@
 /** Wishes of one rank from which on its pace says how long they wait. */
 private const val MIN_QUEUE = 4
 
+/** Time after a tier was shed for which no lower work goes before it. */
+private val SHED_HOLD: Duration = 500.milliseconds
+
 /** Wishes that are looked at behind the first one when no target fits that. */
 private const val LOOK_AHEAD = 8
 
@@ -74,7 +78,23 @@
         /** Mean length of the answers of each route, in tokens. */
         val outputs = HashMap<RouteId, Double>()
 
+        /** Grants of all ranks lately. */
+        val allGrants = RankFlow(Instant.DISTANT_PAST)
+
+        /** When each rank was last shed. */
+        private val shedAt = TreeMap<Int, Instant>()
+
         fun flowOf(rank: Int, now: Instant) = flows.getOrPut(rank) { RankFlow(now) }
+
+        fun onShed(rank: Int, now: Instant) {
+            shedAt[rank] = now
+        }
+
+        fun nextOrNull(now: Instant): WishWork? {
+            shedAt.values.removeIf { now - it > SHED_HOLD }
+            val lowest = shedAt.firstEntry()?.key ?: Int.MAX_VALUE
+            return queue.nextOrNull(now, allGrants.timeFor(1, now), lowest)
+        }
     }
 
     private val services = HashMap<ServiceId, ServiceState>()
@@ -264,16 +284,18 @@
     private fun grantAll(service: ServiceState, now: Instant): List<SlotDecision> {
         val grants = ArrayList<SlotDecision>()
         while (true) {
-            val first = service.queue.firstOrNull(now) ?: break
+            val first = service.nextOrNull(now) ?: break
             val choice = service.targets.chooseOrNull(first, now)?.let { first to it }
                 ?: nextFitting(service, now)
                 ?: break
             val (work, target) = choice
             val ticket = work.wish.ticket
             service.queue.remove(ticket)
+            target.beginReading(work, now)
             target.start(work)
             running[ticket] = Running(work, target.target.id, now)
             service.flowOf(work.wish.rank, now).onGrant(now)
+            service.allGrants.onGrant(now)
             grants += SlotDecision.Grant(ticket, target.target)
         }
         return grants
@@ -327,12 +349,14 @@
             return refusal(wish, SlotRefusal.NoTarget, NO_TARGET_RETRY)
         }
         val wait = expectedWait(service, wish, now)
-        if (now + wait + work.leastTime() <= wish.deadline) return null
+        if (work.isInTimeAfter(wait, now)) return null
+        service.onShed(wish.rank, now)
         return refusal(wish, SlotRefusal.TooLate, wait)
     }
 
-    /** Returns a time in which the work may just be done; its length is a guess. */
-    private fun WishWork.leastTime(): Duration = (nominalMillis * LEAST_PART).milliseconds
+    /** Tells whether the work is of use when it gets a slot after [wait]; its length is a guess. */
+    private fun WishWork.isInTimeAfter(wait: Duration, now: Instant): Boolean =
+        now + wait <= minOf(lastStart, wish.deadline - (nominalMillis * LEAST_PART).milliseconds)
 
     /**
      * Returns the time until a slot is free for [wish]: behind the work that goes before it, and
@@ -360,9 +384,10 @@
                 position < MIN_QUEUE -> Duration.ZERO
                 else -> service.flowOf(wish.rank, now).timeFor(position, now)
             }
-            if (now + wait + work.leastTime() <= wish.deadline) continue
+            if (work.isInTimeAfter(wait, now)) continue
             positions[wish.rank] = position - 1
             service.queue.remove(wish.ticket)
+            service.onShed(wish.rank, now)
             wish.team?.let { quotas[it] }?.putBack(wish.cost.toDouble())
             decisions += refusal(wish, SlotRefusal.TooLate, maxOf(wait, MIN_RETRY_AFTER))
         }
--- a/core/src/main/kotlin/io/primroseflow/fleet/FleetTargets.kt
+++ b/core/src/main/kotlin/io/primroseflow/fleet/FleetTargets.kt
@@ -43,6 +43,9 @@
 /** Milliseconds that an engine of mean speed takes to read a prompt token. */
 internal const val PREFILL_MILLIS = 0.01
 
+/** Milliseconds from a grant to the first event, besides reading the prompt. */
+internal const val START_MILLIS = 20.0
+
 /** Milliseconds that an engine of mean speed takes to generate a token. */
 internal const val DECODE_MILLIS = 3.2
 
@@ -70,6 +73,9 @@
     private var lossesInRow = 0
     private val unreachableFrom = HashMap<DataCentreId, Pause>()
     private var ends = 0
+
+    /** When the prompts that were sent to the target are expected to be read. */
+    private var hasReadAt = Instant.DISTANT_PAST
     private var pausedUntil = Instant.DISTANT_PAST
     private var isOnTrial = false
 
@@ -104,16 +110,24 @@
         work.wish.parts.forEach { parts[it.id] = Unit }
     }
 
+    /** Notes that the target begins to read the prompt of [work], after those it has not read. */
+    fun beginReading(work: WishWork, now: Instant) {
+        if (!work.wish.isStream) return
+        val time = (uncachedTokens(work.wish) * PREFILL_MILLIS * slowness).milliseconds
+        hasReadAt = maxOf(hasReadAt, now) + time
+    }
+
     fun release(work: WishWork) {
         inFlight--
         tokensInFlight -= work.footprint
+        if (inFlight == 0) hasReadAt = Instant.DISTANT_PAST
     }
 
     /** Forgets what the target had cached; it has been started anew. */
     fun forgetParts() = parts.clear()
 
     /** Returns the time that [work] is expected to take here. */
-    fun expectedMillis(work: WishWork, isRemote: Boolean): Double {
+    fun expectedMillis(work: WishWork, isRemote: Boolean, now: Instant): Double {
         val load = inFlight.toDouble() / slotLimit.coerceAtLeast(1)
         val base = if (work.wish.isStream) {
             uncachedTokens(work.wish) * PREFILL_MILLIS + work.outputTokens * DECODE_MILLIS
@@ -121,7 +135,8 @@
             work.nominalMillis
         }
         val remote = if (isRemote) REMOTE_MILLIS else 0.0
-        return slowness * base * (1 + BATCH_SLOWDOWN * load) + remote
+        val reading = maxOf(Duration.ZERO, hasReadAt - now) / 1.milliseconds
+        return reading + slowness * base * (1 + BATCH_SLOWDOWN * load) + remote
     }
 
     /** Learns from an answer that took [actualMillis] where [nominalMillis] were expected. */
@@ -179,6 +194,19 @@
  * @property nominalMillis time that it holds a slot at a target of mean speed
  */
 internal class WishWork(val wish: SlotWish, val outputTokens: Int, val nominalMillis: Double) {
+    private val startTime: Duration =
+        (if (wish.isStream) START_MILLIS + wish.promptTokens * PREFILL_MILLIS else nominalMillis)
+            .milliseconds
+
+    /** Time at which it must have a slot so that its answer begins by the goal. */
+    val latestStart: Instant = wish.goal - startTime
+
+    /** Time at which it must have a slot so that its answer is of any use. */
+    val lastStart: Instant = minOf(wish.startBy, wish.deadline) - startTime
+
+    /** Time at which it must have a slot, for the goal or, once that has passed, for any use. */
+    fun dueAt(now: Instant): Instant = if (latestStart >= now) latestStart else lastStart
+
     /** Tokens that it occupies in a KV cache when it is done. */
     val footprint: Long get() = (wish.promptTokens + outputTokens).toLong()
 }
@@ -218,7 +246,7 @@
         for (state in states.values) {
             if (!state.canStart(work, kvTokens, now)) continue
             val isRemote = state.target.dataCentre != work.wish.dataCentre
-            val millis = state.expectedMillis(work, isRemote)
+            val millis = state.expectedMillis(work, isRemote, now)
             if (millis >= bestMillis) continue
             best = state
             bestMillis = millis
--- a/core/src/main/kotlin/io/primroseflow/routing/RoutedPolicies.kt
+++ b/core/src/main/kotlin/io/primroseflow/routing/RoutedPolicies.kt
@@ -48,6 +48,8 @@
  * @property maxAttempts targets that one request may be sent to
  * @property isPublic whether requests need no credential
  * @property isStream whether the answer is a series of events
+ * @property patience time without the first or the next piece of an answer after which callers
+ * leave
  */
 public data class ServiceRoute(
     val id: RouteId,
@@ -60,7 +62,8 @@
     val priority: Int,
     val maxAttempts: Int,
     val isPublic: Boolean,
-    val isStream: Boolean
+    val isStream: Boolean,
+    val patience: Duration = timeout
 )
 
 /**
--- a/core/src/test/kotlin/io/primroseflow/fleet/FleetFixture.kt
+++ b/core/src/test/kotlin/io/primroseflow/fleet/FleetFixture.kt
@@ -56,6 +56,7 @@
         service: ServiceId = engines,
         goal: Duration = 500.milliseconds,
         deadline: Duration = 10.seconds,
+        startBy: Duration = deadline,
         cost: Long = 0,
         prompt: Int = 1_000,
         hint: Int? = 100,
@@ -78,6 +79,7 @@
         excluded = excluded,
         arrivedAt = at,
         goal = at + goal,
+        startBy = at + startBy,
         deadline = at + deadline
     )
 }
--- a/core/src/test/kotlin/io/primroseflow/fleet/FleetSchedulerTest.kt
+++ b/core/src/test/kotlin/io/primroseflow/fleet/FleetSchedulerTest.kt
@@ -132,6 +132,17 @@
                     .targets() shouldContainExactly listOf(target)
             }
 
+            it("keeps away from a target that still reads a long prompt") {
+                val scheduler = scheduler(fleetTarget("1", 4), fleetTarget("2", 4))
+                val wishes = Wishes()
+                val long = scheduler.submit(wishes.next(prompt = 30_000), start).targets().single()
+                val next = List(2) { scheduler.submit(wishes.next(), start).targets() }.flatten()
+                next shouldNotContain long
+                val later = start + 1.seconds
+                List(2) { scheduler.submit(wishes.next(at = later), later).targets() }.flatten()
+                    .shouldContain(long)
+            }
+
             it("learns which target is slow and avoids it while others are free") {
                 val scheduler = scheduler(fleetTarget("1", 2), fleetTarget("2", 2))
                 val wishes = Wishes()
--- a/daemon/src/main/kotlin/io/primroseflow/daemon/peer/SchedulingRecords.kt
+++ b/daemon/src/main/kotlin/io/primroseflow/daemon/peer/SchedulingRecords.kt
@@ -19,6 +19,7 @@
  * A [SlotWish] between hosts, whose clocks differ: times are counted from the sending.
  *
  * @property goalMillis time left until the answer should begin, negative when it has passed
+ * @property startMillis time left until the answer must begin
  */
 @Serializable
 internal data class WishRecord(
@@ -37,6 +38,7 @@
     @SerialName("x") val excluded: Set<TargetId>,
     @SerialName("a") val agedMillis: Long,
     @SerialName("g") val goalMillis: Long,
+    @SerialName("b") val startMillis: Long,
     @SerialName("d") val deadlineMillis: Long
 )
 
@@ -64,6 +66,7 @@
     excluded = excluded,
     agedMillis = (now - arrivedAt).inWholeMilliseconds,
     goalMillis = (goal - now).inWholeMilliseconds,
+    startMillis = (startBy - now).inWholeMilliseconds,
     deadlineMillis = (deadline - now).inWholeMilliseconds
 )
 
@@ -84,6 +87,7 @@
     excluded = excluded,
     arrivedAt = now - agedMillis.milliseconds,
     goal = now + goalMillis.milliseconds,
+    startBy = now + startMillis.milliseconds,
     deadline = now + deadlineMillis.milliseconds
 )
 
