Wait for a slow answer where no other target may be asked

Change: the limits for the first and the next piece hold only while the request may still be sent elsewhere. Test: RoutedHostsTest, 'waits for a slow answer once it may not be sent again', seen failing before.

--- a/daemon/src/main/kotlin/io/primroseflow/daemon/entry/RequestRelays.kt
+++ b/daemon/src/main/kotlin/io/primroseflow/daemon/entry/RequestRelays.kt
@@ -146,6 +146,7 @@
 
     private fun nextWish(): SlotWish {
         val traits = request.traits
+        val waitsSince = if (hasStream) clock.now() else request.arrivedAt
         return SlotWish(
             ticket = services.desk.nextTicket(),
             service = request.service.id,
@@ -162,6 +163,7 @@
             excluded = excluded.toSet(),
             arrivedAt = request.arrivedAt,
             goal = request.arrivedAt + route.latencyGoal,
+            startBy = minOf(request.deadline, waitsSince + route.patience),
             deadline = request.deadline
         )
     }
@@ -201,6 +203,8 @@
         val timeLeft = (request.deadline - clock.now()).coerceAtLeast(1.milliseconds)
         val traits = DispatchTraits(timeLeft, target.id, request.team?.id, lastEventId)
         val isRepeatable = route.repeatability != Repeatability.NonIdempotent
+        // Where no other target may be asked, silence of this one is no reason to give up early.
+        val mayGoElsewhere = isRepeatable && runs + 1 < route.maxAttempts
         return Dispatch(
             id = request.traits.id,
             method = head.method,
@@ -210,8 +214,8 @@
             address = target.address,
             isStream = route.isStream,
             maxIdle = if (isRepeatable) Duration.INFINITE else TRUSTED_IDLE,
-            firstTimeout = if (isRepeatable) firstLimit(timeLeft) else timeLeft,
-            gapTimeout = if (isRepeatable) RESUME_GAP else timeLeft
+            firstTimeout = if (mayGoElsewhere) firstLimit(timeLeft) else timeLeft,
+            gapTimeout = if (mayGoElsewhere) RESUME_GAP else timeLeft
         )
     }
 
--- a/daemon/src/test/kotlin/io/primroseflow/daemon/entry/RoutedHostsTest.kt
+++ b/daemon/src/test/kotlin/io/primroseflow/daemon/entry/RoutedHostsTest.kt
@@ -127,6 +127,18 @@
                 }
             }
 
+            it("waits for a slow answer once it may not be sent again") {
+                val slow: Behaviour = { request, output ->
+                    Thread.sleep(900)
+                    serves(request, output)
+                }
+                val replicas = arrayOf(FakeReplica(slow), FakeReplica(slow))
+                system(*replicas) {
+                    call("/safe/1") shouldEndWith "done"
+                    replicas.sumOf { it.received.size } shouldBe 2
+                }
+            }
+
             it("gets the target's own failure when all fail") {
                 val fails: Behaviour = { request, output ->
                     output.answer(request.id, status = 500, body = "bad")
