--- a/core/src/main/kotlin/io/primroseflow/fleet/FleetScheduler.kt
+++ b/core/src/main/kotlin/io/primroseflow/fleet/FleetScheduler.kt
@@ -4,18 +4,13 @@
 import io.primroseflow.model.HostId
 import io.primroseflow.model.TargetId
 import io.primroseflow.model.TeamId
-import io.primroseflow.routing.RouteId
 import io.primroseflow.routing.RoutedPolicy
 import io.primroseflow.routing.RoutedService
 import io.primroseflow.routing.ServiceId
-import java.util.TreeMap
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Instant
 
-/** Weight of the newest sample in a moving average. */
-private const val PACE_WEIGHT = 0.05
-
 /** Shortest time after which a refused caller may come back. */
 private val MIN_RETRY_AFTER: Duration = 100.milliseconds
 
@@ -28,21 +23,6 @@
 /** Part of a team's burst that a tier leaves for those above it at most. */
 private const val MOST_KEPT = 0.6
 
-/** Expected time of a call of a plain service before any was seen. */
-private const val FIRST_PLAIN_MILLIS = 20.0
-
-/** Expected tokens of an answer before any of its route was seen. */
-private const val FIRST_OUTPUT = 200
-
-/** Part of its expected time in which a request may turn out to be done. */
-private const val LEAST_PART = 0.3
-
-/** Wishes of one rank from which on its pace says how long they wait. */
-private const val MIN_QUEUE = 4
-
-/** Time after a tier was shed for which no lower work goes before it. */
-private val SHED_HOLD: Duration = 500.milliseconds
-
 /** Wishes that are looked at behind the first one when no target fits that. */
 private const val LOOK_AHEAD = 8
 
@@ -68,41 +48,6 @@
         val wish: SlotWish get() = work.wish
     }
 
-    private class ServiceState {
-        val targets = ServiceTargets()
-        val queue = WishQueue()
-
-        /** Time that requests hold a slot, as a multiple of what was expected. */
-        var pace = 1.0
-
-        /** Mean time of a call of a plain service. */
-        var plainMillis = FIRST_PLAIN_MILLIS
-
-        /** Grants of each rank lately, which tell how fast its queue moves. */
-        private val flows = HashMap<Int, RankFlow>()
-
-        /** Mean length of the answers of each route, in tokens. */
-        val outputs = HashMap<RouteId, Double>()
-
-        /** Grants of all ranks lately. */
-        val allGrants = RankFlow(Instant.DISTANT_PAST)
-
-        /** When each rank was last shed. */
-        private val shedAt = TreeMap<Int, Instant>()
-
-        fun flowOf(rank: Int, now: Instant) = flows.getOrPut(rank) { RankFlow(now) }
-
-        fun onShed(rank: Int, now: Instant) {
-            shedAt[rank] = now
-        }
-
-        fun nextOrNull(now: Instant): WishWork? {
-            shedAt.values.removeIf { now - it > SHED_HOLD }
-            val lowest = shedAt.firstEntry()?.key ?: Int.MAX_VALUE
-            return queue.nextOrNull(now, allGrants.timeFor(1, now), lowest)
-        }
-    }
-
     private val services = HashMap<ServiceId, ServiceState>()
     private val running = HashMap<SlotTicket, Running>()
     private val quotas = HashMap<TeamId, TokenBucket>()
@@ -170,14 +115,14 @@
             val wait = bucket.waitFor(cost, now, wish.quotaKept())
             return listOf(refusal(wish, SlotRefusal.OverQuota, wait))
         }
-        val work = workOf(service, wish)
+        val work = service.workOf(wish)
         val refusal = hopelessOrNull(service, work, now)
         if (refusal != null) {
             bucket?.putBack(wish.cost.toDouble())
             return listOf(refusal)
         }
         service.queue.add(work)
-        service.flowOf(wish.rank, now)
+        service.onWaiting(wish.rank, now)
         return grantAll(service, now)
     }
 
@@ -197,7 +142,7 @@
         val target = service.targets.findOrNull(done.target)
         target?.release(done.work)
         when (end) {
-            is SlotEnd.Served -> learn(service, target, done.wish, end)
+            is SlotEnd.Served -> service.learn(target, done.wish, end)
 
             is SlotEnd.NotRun ->
                 if (end.isUnreachable) target?.onUnreachable(done.wish.dataCentre, now)
@@ -286,7 +231,7 @@
 
     private fun adopt(slot: HeldSlot, now: Instant) {
         val service = stateOf(slot.wish.service)
-        val work = service.queue.remove(slot.wish.ticket) ?: workOf(service, slot.wish)
+        val work = service.queue.remove(slot.wish.ticket) ?: service.workOf(slot.wish)
         service.targets.findOrNull(slot.target)?.start(work)
         running[slot.wish.ticket] = Running(work, slot.target, now)
     }
@@ -304,8 +249,7 @@
             target.beginReading(work, now)
             target.start(work)
             running[ticket] = Running(work, target.target.id, now)
-            service.flowOf(work.wish.rank, now).onGrant(now)
-            service.allGrants.onGrant(now)
+            service.onGrant(work.wish.rank, now)
             grants += SlotDecision.Grant(ticket, target.target)
         }
         return grants
@@ -321,65 +265,18 @@
         return null
     }
 
-    private fun learn(
-        service: ServiceState,
-        target: TargetState?,
-        wish: SlotWish,
-        end: SlotEnd.Served
-    ) {
-        val actual = end.totalMillis.toDouble()
-        val nominal = if (wish.isStream) {
-            service.outputs.merge(wish.route, end.outputTokens.toDouble()) { old, new ->
-                old + PACE_WEIGHT * (new - old)
-            }
-            wish.promptTokens * PREFILL_MILLIS + end.outputTokens * DECODE_MILLIS
-        } else {
-            service.plainMillis += PACE_WEIGHT * (actual - service.plainMillis)
-            service.plainMillis
-        }
-        target?.onSuccess(wish.dataCentre)
-        target?.learnSpeed(actual, nominal)
-        val ratio = actual / nominal.coerceAtLeast(1.0)
-        service.pace += PACE_WEIGHT * (ratio - service.pace)
-    }
-
-    /** Works out what [wish] is expected to take, by its own hint or by what was seen before. */
-    private fun workOf(service: ServiceState, wish: SlotWish): WishWork {
-        if (!wish.isStream) return WishWork(wish, 0, service.plainMillis)
-        val expected = wish.outputHint ?: service.outputs[wish.route]?.toInt() ?: FIRST_OUTPUT
-        val output = minOf(expected, wish.outputLimit)
-        val millis = wish.promptTokens * PREFILL_MILLIS + output * DECODE_MILLIS
-        return WishWork(wish, output, millis * service.pace)
-    }
-
     private fun hopelessOrNull(service: ServiceState, work: WishWork, now: Instant): SlotDecision? {
         val wish = work.wish
         if (!isListKnown) return null
         if (service.targets.all.none { !it.target.isLeaving }) {
             return refusal(wish, SlotRefusal.NoTarget, NO_TARGET_RETRY)
         }
-        val wait = expectedWait(service, wish, now)
+        val wait = service.expectedWait(wish, now)
         if (work.isInTimeAfter(wait, now)) return null
         service.onShed(wish.rank, now)
         return refusal(wish, SlotRefusal.TooLate, wait)
     }
 
-    /** Tells whether the work is of use when it gets a slot after [wait]; its length is a guess. */
-    private fun WishWork.isInTimeAfter(wait: Duration, now: Instant): Boolean =
-        now + wait <= minOf(lastStart, wish.deadline - (nominalMillis * LEAST_PART).milliseconds)
-
-    /**
-     * Returns the time until a slot is free for [wish]: behind the work that goes before it, and
-     * no faster than its rank is served at present, since higher work goes on to arrive.
-     */
-    private fun expectedWait(service: ServiceState, wish: SlotWish, now: Instant): Duration {
-        val slots = service.targets.usableSlots(now).coerceAtLeast(1)
-        val byWork = (service.queue.workAtOrAbove(wish.rank) / slots).milliseconds
-        val waiting = service.queue.countOf(wish.rank)
-        if (waiting < MIN_QUEUE) return byWork
-        return maxOf(byWork, service.flowOf(wish.rank, now).timeFor(waiting, now))
-    }
-
     /** Refuses those waiting wishes that the present pace of their rank does not reach in time. */
     private fun refuseUnreachable(
         service: ServiceState,
@@ -390,10 +287,7 @@
         for (work in service.queue.inOrder(now).toList()) {
             val wish = work.wish
             val position = positions.merge(wish.rank, 1, Int::plus) ?: 1
-            val wait = when {
-                position < MIN_QUEUE -> Duration.ZERO
-                else -> service.flowOf(wish.rank, now).timeFor(position, now)
-            }
+            val wait = service.turnOf(wish.rank, position, now)
             if (work.isInTimeAfter(wait, now)) continue
             positions[wish.rank] = position - 1
             service.queue.remove(wish.ticket)
--- a/daemon/src/main/kotlin/io/primroseflow/daemon/entry/EntryHosts.kt
+++ b/daemon/src/main/kotlin/io/primroseflow/daemon/entry/EntryHosts.kt
@@ -120,7 +120,6 @@
         dialect = dialect,
         desk = desk,
         exchanger = TargetExchanger(pool, dialect),
-        log = log,
         hostCount = { link.share.hosts },
         budgetOf = { budgets.getOrPut(it) { RepeatBudget(settings.repeatBounds) } }
     )
--- a/daemon/src/main/kotlin/io/primroseflow/daemon/entry/RequestRelays.kt
+++ b/daemon/src/main/kotlin/io/primroseflow/daemon/entry/RequestRelays.kt
@@ -1,6 +1,5 @@
 package io.primroseflow.daemon.entry
 
-import io.primroseflow.daemon.EventLog
 import io.primroseflow.daemon.fleet.Dialect
 import io.primroseflow.daemon.fleet.DispatchTraits
 import io.primroseflow.daemon.fleet.RequestTraits
@@ -61,7 +60,6 @@
     val dialect: Dialect,
     val desk: SlotDesk,
     val exchanger: TargetExchanger,
-    val log: EventLog,
     val hostCount: () -> Int,
     val budgetOf: (ServiceId) -> RepeatBudget
 )
