Keep no quota back from the cheap calls of plain services

Change: only streams leave a part of the burst to higher tiers. Test: FleetSchedulerTest, 'is open to the cheap calls of plain services', seen failing before.

--- a/core/src/main/kotlin/io/primroseflow/fleet/FleetScheduler.kt
+++ b/core/src/main/kotlin/io/primroseflow/fleet/FleetScheduler.kt
@@ -209,8 +209,12 @@
         targets = services.values.sumOf { it.targets.all.size }
     )
 
-    /** Part of the team's burst that is left for its higher tiers. */
-    private fun SlotWish.quotaKept(): Double = minOf(tier * KEPT_PER_TIER, MOST_KEPT)
+    /**
+     * Part of the team's burst that is left for its higher tiers; calls of plain services cost
+     * next to nothing and leave none.
+     */
+    private fun SlotWish.quotaKept(): Double =
+        if (isStream) minOf(tier * KEPT_PER_TIER, MOST_KEPT) else 0.0
 
     private fun stateOf(id: ServiceId) = services.getOrPut(id) { ServiceState() }
 
--- a/core/src/test/kotlin/io/primroseflow/fleet/FleetSchedulerTest.kt
+++ b/core/src/test/kotlin/io/primroseflow/fleet/FleetSchedulerTest.kt
@@ -322,6 +322,15 @@
                 served.getValue(2) shouldBeGreaterThan 40
             }
 
+            it("is open to the cheap calls of plain services, whatever their tier") {
+                val scheduler =
+                    scheduler(fleetTarget("1", 9), fleetTarget("2", 9, desk), quota = quota)
+                val wishes = Wishes()
+                scheduler.submit(wishes.next(cost = 900), start)
+                val call = wishes.next(service = desk, tier = 3, cost = 10)
+                scheduler.submit(call, start).granted() shouldHaveSize 1
+            }
+
             it("lets low tiers through alone, and one that is larger than the bucket") {
                 val scheduler = scheduler(fleetTarget("1", 100), quota = quota)
                 val wishes = Wishes()
