--- a/daemon/src/test/kotlin/io/primroseflow/daemon/entry/RoutedHostsTest.kt
+++ b/daemon/src/test/kotlin/io/primroseflow/daemon/entry/RoutedHostsTest.kt
@@ -177,6 +177,20 @@
                 }
             }
 
+            it("goes to another target when the first one is not the one that was meant") {
+                val misdirected: Behaviour = { request, output ->
+                    output.answer(request.id, status = 421)
+                    true
+                }
+                val replicas = arrayOf(FakeReplica(misdirected), FakeReplica(misdirected))
+                system(*replicas) {
+                    call("/once/1") shouldStartWith "HTTP/1.1 503"
+                    replicas.sumOf { it.received.size } shouldBe 2
+                    replicas.forEach { it.behaviour = serves }
+                    call("/once/2", id = "r2") shouldStartWith "HTTP/1.1 200"
+                }
+            }
+
             it("gets its final answer at the route's timeout, and it may have run") {
                 val slow: Behaviour = { request, output ->
                     Thread.sleep(2_000)
