Replay loads in virtual time against four ways of scheduling

primroseflow-bench replay: steady, burst, overload, hot team, hot key, a third of the engines gone, a slow third, callers that come back at once; the shared scheduler beside each host alone, first in first out and two choices.

--- a/bench/src/main/kotlin/io/primroseflow/bench/Main.kt
+++ b/bench/src/main/kotlin/io/primroseflow/bench/Main.kt
@@ -59,6 +59,6 @@
 @OptIn(ExperimentalCli::class)
 public fun main(arguments: Array<String>) {
     val parser = ArgParser("primroseflow-bench")
-    parser.subcommands(StandInsCommand(), RelayCommand(), SlopesCommand())
+    parser.subcommands(StandInsCommand(), RelayCommand(), SlopesCommand(), ReplayCommand())
     parser.parse(arguments)
 }
