--- a/core/src/main/kotlin/io/primroseflow/fleet/FleetShares.kt
+++ b/core/src/main/kotlin/io/primroseflow/fleet/FleetShares.kt
@@ -34,13 +34,14 @@
 }
 
 /**
- * Bursts that two changes of the scheduler within one window let through: each time hosts on their
- * own begin with a tenth of it, and the next scheduler with a quarter.
+ * Bursts that changes of the scheduler within one window let through: each time hosts on their own
+ * begin with a tenth of it and the next scheduler with a quarter, and both serve for a moment. A
+ * played day had 0.95.
  */
-private const val CHANGED_BURSTS = 0.7
+private const val CHANGED_BURSTS = 1.2
 
 /** Part of the tolerance that is used at most, since grants and arrivals are not simultaneous. */
-private const val USED_PART = 0.9
+private const val USED_PART = 0.5
 
 /**
  * How far the sum over all hosts may go beyond a quota.
@@ -60,7 +61,8 @@
     internal fun rateOf(quota: TeamQuota): Double {
         val seconds = window / 1.seconds
         val extra = ratio * (quota.perSecond * seconds + quota.burst) + units
-        val usable = (extra - changedBursts * quota.burst).coerceAtLeast(0.0) * USED_PART
+        val heldBack = maxOf(changedBursts * quota.burst, (1 - USED_PART) * extra)
+        val usable = (extra - heldBack).coerceAtLeast(0.0)
         return quota.perSecond + usable / seconds
     }
 
