--- a/core/src/test/kotlin/io/primroseflow/fleet/FleetSchedulerTest.kt
+++ b/core/src/test/kotlin/io/primroseflow/fleet/FleetSchedulerTest.kt
@@ -374,7 +374,7 @@
 
             // Steps of 10 ms at which hosts go on alone; 500 ms later the next scheduler is there.
             for (changes in listOf(listOf(400), listOf(200, 500), listOf(100, 250, 400, 550))) {
-                val name = "holds over changes of the scheduler at $changes, with hosts alone between"
+                val name = "holds over changes of the scheduler at $changes, with hosts alone"
                 it(name).config(enabled = changes.size < 4 || runsKnownRed) {
                     val tolerance = QuotaTolerance(8.seconds, ratio = 0.1, units = 2_000.0)
                     val target = fleetTarget("1", 10_000)
