--- a/bench/src/test/kotlin/io/primroseflow/bench/replay/FleetReplayTest.kt
+++ b/bench/src/test/kotlin/io/primroseflow/bench/replay/FleetReplayTest.kt
@@ -67,12 +67,33 @@
                 play("steady", "shared").inAim("tag") shouldBeGreaterThan FLOOR_OF_A_KIND
             }
 
+            it("serve the higher kinds nearly as well as without the lowest") {
+                val steady = loadPatterns.single { it.name == "steady" }
+                val higher = steady.copy(kinds = steady.kinds.filter { it.name != "tag" })
+                val alone = seeds.map { seed ->
+                    val setup = ReplaySetup(seed = seed)
+                    replay(higher, ways.getValue("shared")(setup.hosts, seed), setup)
+                }
+                val mixed = play("steady", "shared")
+                for (kind in listOf("plan", "question")) {
+                    mixed.inAim(kind) shouldBeGreaterThan alone.inAim(kind) - 0.08
+                }
+            }
+
             it("serve the higher kinds without loss") {
                 play("steady", "shared").inAim("plan") shouldBeGreaterThan 0.95
                 play("steady", "shared").inAim("question") shouldBeGreaterThan 0.9
             }
         }
 
+        // Plans alone need more slots than there are, for eight seconds.
+        describe("more of the highest kind than there are slots (overload)") {
+            it("serves it better than what is below") {
+                val results = play("overload", "shared")
+                results.served("plan") shouldBeGreaterThan results.served("question")
+            }
+        }
+
         // Three times the usual of the lowest kind for six seconds.
         describe("a burst of the lowest kind") {
             it("takes nothing from the higher kinds") {
