Bound answers and requests that never end, and judge streams by their events

Cause, by reading: the head of an answer was limited only in time, the lines of a trailer and interim responses not at all, bodies to 8 MiB each whatever their number; a stream whose target sent a byte or a blank line now and then was never ended by its gap limit.

Change: heads of answers end at 64 KiB, of requests at the policy's limit while they are read; trailers at 64 lines, interim responses at 8, incomplete events at 64 KiB, all buffered answers of a host at 24 MiB. The gap limit of a stream runs until its next event, not until the next byte.

--- a/daemon/src/main/kotlin/io/primroseflow/daemon/http/HttpConnection.kt
+++ b/daemon/src/main/kotlin/io/primroseflow/daemon/http/HttpConnection.kt
@@ -8,6 +8,7 @@
 import io.ktor.utils.io.ByteWriteChannel
 import io.ktor.utils.io.writeFully
 import io.ktor.utils.io.writePacket
+import io.primroseflow.daemon.socket.InputLimitException
 import io.primroseflow.daemon.socket.StreamSocket
 import io.primroseflow.daemon.target.BodyFraming
 import io.primroseflow.daemon.target.source
@@ -23,6 +24,9 @@
 /** Bytes of a header field besides its name and value: a colon, a space and a line break. */
 private const val FIELD_OVERHEAD_BYTES = 4
 
+/** Bytes of the head of a request besides its target and header fields. */
+private const val HEAD_OVERHEAD_BYTES = 256
+
 private val lineEnd = "\r\n".encodeToByteArray()
 
 private val lastChunk = "0\r\n\r\n".encodeToByteArray()
@@ -78,6 +82,8 @@
                     HttpStatusCode.RequestTimeout.value,
                     "the request was not received in time"
                 )
+        } catch (_: InputLimitException) {
+            headersTooLarge()
         } catch (e: ParserException) {
             Incoming.Invalid(HttpStatusCode.BadRequest.value, e.message ?: "malformed")
         } catch (e: IllegalArgumentException) {
@@ -161,7 +167,9 @@
         }
 
     private suspend fun readRequest(bounds: CallerBounds): Incoming {
+        socket.limitInput(bounds.headerBytes + HEAD_OVERHEAD_BYTES)
         val parsed = parseRequest(input) ?: return Incoming.Closed
+        socket.limitInput(null)
         val head = HttpRequestHead(
             method = parsed.method.value,
             target = parsed.uri.toString(),
@@ -173,7 +181,7 @@
             head.target.length +
                 head.fields.all.sumOf { it.name.length + it.value.length + FIELD_OVERHEAD_BYTES }
         if (size > bounds.headerBytes) {
-            return Incoming.Invalid(HTTP_HEADERS_TOO_LARGE, "the headers exceed the size limit")
+            return headersTooLarge()
         }
         val framing = requestFraming(head)
             ?: return Incoming.Invalid(
@@ -198,6 +206,9 @@
         return Incoming.Request(head, body)
     }
 
+    private fun headersTooLarge() =
+        Incoming.Invalid(HTTP_HEADERS_TOO_LARGE, "the headers exceed the size limit")
+
     private suspend fun readBody(framing: BodyFraming, limit: Int): ByteArray? {
         if (framing is BodyFraming.Sized && framing.length == 0L) return ByteArray(0)
         val body = framing.source(input)
--- a/daemon/src/main/kotlin/io/primroseflow/daemon/target/EventSplitter.kt
+++ b/daemon/src/main/kotlin/io/primroseflow/daemon/target/EventSplitter.kt
@@ -5,7 +5,7 @@
 private const val INITIAL_CAPACITY_BYTES = 1024
 
 /** Maximum size of an event; a longer one means that the input is not an event stream. */
-private const val MAX_EVENT_BYTES = 1024 * 1024
+private const val MAX_EVENT_BYTES = 64 * 1024
 
 private const val LINE_FEED = '\n'.code.toByte()
 
--- a/daemon/src/main/kotlin/io/primroseflow/daemon/target/ResponseBodies.kt
+++ b/daemon/src/main/kotlin/io/primroseflow/daemon/target/ResponseBodies.kt
@@ -84,6 +84,8 @@
 /** Maximum length of a chunk header or of a trailer line. */
 private const val MAX_CHUNK_LINE_BYTES = 1024
 
+private const val MAX_TRAILER_LINES = 64
+
 private const val HEX_RADIX = 16
 
 /**
@@ -115,9 +117,13 @@
         remaining = line.toLongOrNull(HEX_RADIX)?.takeIf { it >= 0 }
             ?: throw IOException("a chunk has the malformed size '$line'")
         if (remaining > 0) return true
-        while (readLine().isNotEmpty()) Unit
-        isEnded = true
-        return false
+        repeat(MAX_TRAILER_LINES) {
+            if (readLine().isEmpty()) {
+                isEnded = true
+                return false
+            }
+        }
+        throw IOException("more than $MAX_TRAILER_LINES trailer lines")
     }
 
     /**
--- a/daemon/src/main/kotlin/io/primroseflow/daemon/target/TargetConnectionPools.kt
+++ b/daemon/src/main/kotlin/io/primroseflow/daemon/target/TargetConnectionPools.kt
@@ -34,8 +34,14 @@
 /** Maximum number of idle connections to a target. */
 private const val MAX_IDLE_PER_TARGET = 32
 
+/** Maximum size of the head of an answer. */
+private const val MAX_HEAD_BYTES = 64 * 1024
+
 private const val HTTP_VERSION = "HTTP/1.1"
 
+/** Maximum number of interim responses before a final one. */
+private const val MAX_INTERIM_HEADS = 8
+
 private const val HTTP_CONTINUE = 100
 
 private const val FIRST_FINAL_STATUS = 200
@@ -82,14 +88,17 @@
      * @throws IOException if the connection fails or the input is not an HTTP response
      */
     suspend fun readHead(): HttpAnswerHead? {
-        while (true) {
+        repeat(MAX_INTERIM_HEADS + 1) {
             val head = readAnyHead() ?: return null
             if (head.status !in HTTP_CONTINUE until FIRST_FINAL_STATUS) return head
         }
+        throw IOException("more than $MAX_INTERIM_HEADS interim responses")
     }
 
     private suspend fun readAnyHead(): HttpAnswerHead? = try {
+        socket.limitInput(MAX_HEAD_BYTES)
         val parsed = parseResponse(input) ?: return null
+        socket.limitInput(null)
         val head = HttpAnswerHead(parsed.status, parsed.headers.toFields())
         parsed.release()
         head
--- a/daemon/src/main/kotlin/io/primroseflow/daemon/target/TargetExchanges.kt
+++ b/daemon/src/main/kotlin/io/primroseflow/daemon/target/TargetExchanges.kt
@@ -7,6 +7,7 @@
 import java.io.ByteArrayOutputStream
 import java.io.IOException
 import kotlin.time.Duration
+import kotlin.time.TimeSource
 import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.CoroutineStart
@@ -20,6 +21,9 @@
 /** Maximum size of an answer that is read into memory as a whole. */
 private const val MAX_BUFFERED_ANSWER_BYTES = 8 * 1024 * 1024
 
+/** Maximum size of all answers together that are read into memory at the same time. */
+private const val MAX_TOTAL_BUFFERED_BYTES = 24L * 1024 * 1024
+
 /** Maximum number of late answers to earlier requests that are skipped on one connection. */
 private const val MAX_SKIPPED_ANSWERS = 2
 
@@ -34,9 +38,9 @@
  * @property address host and port of the target
  * @property isStream whether a successful answer is forwarded event by event
  * @property maxIdle maximum time for which a reused connection may have been idle
- * @property firstTimeout time limit for the head of the answer, and for each read of a stream up to
- *   its first complete event
- * @property gapTimeout time limit for each further read of a stream
+ * @property firstTimeout time limit for the head of the answer, and for the first event of a stream
+ *   after the head
+ * @property gapTimeout time limit for each further event of a stream, however many bytes arrive
  */
 internal class Dispatch(
     val id: String?,
@@ -93,8 +97,11 @@
 /** Runs exchanges with targets over pooled connections. */
 internal class TargetExchanger(
     private val pool: TargetConnectionPool,
-    private val dialect: Dialect
+    private val dialect: Dialect,
+    private val time: TimeSource = TimeSource.Monotonic
 ) {
+    private var bufferedBytes = 0L
+
     /** Sends [dispatch] once and reads its answer; connection failures are part of the result. */
     suspend fun run(dispatch: Dispatch, listener: ExchangeListener): ExchangeResult {
         val connection = pool.acquireOrNull(dispatch.address, dispatch.maxIdle)
@@ -198,16 +205,23 @@
             val splitter = EventSplitter()
             val buffer = ByteArray(READ_BUFFER_BYTES)
             var timeout = dispatch.firstTimeout
+            var lastEventAt = time.markNow()
+            var events = 0
             var hasStarted = false
             while (true) {
-                val count = withTimeoutOrNull(timeout) { body.read(buffer) }
+                val left = (timeout - lastEventAt.elapsedNow()).coerceAtLeast(Duration.ZERO)
+                val count = withTimeoutOrNull(left) { body.read(buffer) }
                     ?: return ExchangeResult.Failed("no event in $timeout")
                 if (count < 0) break
                 splitter.add(buffer, count)
+                if (splitter.eventCount > events) {
+                    events = splitter.eventCount
+                    timeout = dispatch.gapTimeout
+                    lastEventAt = time.markNow()
+                }
                 if (splitter.completeLength == 0) continue
                 if (!hasStarted) listener.onStream(head)
                 hasStarted = true
-                timeout = dispatch.gapTimeout
                 listener.onEvents(splitter.buffer, splitter.completeLength, splitter.lastId)
                 splitter.dropComplete()
             }
@@ -228,13 +242,25 @@
             val body = framing.source(connection.input)
             val collected = ByteArrayOutputStream()
             val buffer = ByteArray(READ_BUFFER_BYTES)
-            while (true) {
-                val count = body.read(buffer)
-                if (count < 0) return collected.toByteArray()
-                collected.write(buffer, 0, count)
-                if (collected.size() > MAX_BUFFERED_ANSWER_BYTES) {
-                    throw IOException("answer of more than $MAX_BUFFERED_ANSWER_BYTES bytes")
+            try {
+                while (true) {
+                    val count = body.read(buffer)
+                    if (count < 0) return collected.toByteArray()
+                    collected.write(buffer, 0, count)
+                    bufferedBytes += count
+                    throwIfTooLarge(collected.size())
                 }
+            } finally {
+                bufferedBytes -= collected.size()
+            }
+        }
+
+        private fun throwIfTooLarge(size: Int) {
+            if (size > MAX_BUFFERED_ANSWER_BYTES) {
+                throw IOException("answer of more than $MAX_BUFFERED_ANSWER_BYTES bytes")
+            }
+            if (bufferedBytes > MAX_TOTAL_BUFFERED_BYTES) {
+                throw IOException("answers of more than $MAX_TOTAL_BUFFERED_BYTES bytes in memory")
             }
         }
     }
