Report known requests by their tickets, and let attached hosts rest

Cause: each host sent all details of its requests to the scheduler five times a second, which rebuilt and compared them for each of up to 95 hosts, over the requests of all hosts; and each host woke up 70 times a second for tasks that only a host on its own needs.

Change: requests that a scheduler knows are reported by ticket; what it lacks it asks for. A host without requests reports every 600 ms. The tick of the local scheduler and the poll of the target directory run only while a host is detached.

--- a/core/src/test/kotlin/io/primroseflow/fleet/FleetSchedulerTest.kt
+++ b/core/src/test/kotlin/io/primroseflow/fleet/FleetSchedulerTest.kt
@@ -567,6 +567,25 @@
                     .decisions.granted() shouldContainExactly listOf(request.ticket)
             }
 
+            it("keeps requests that are reported by their tickets, and names those it lacks") {
+                val scheduler = scheduler(fleetTarget("1"))
+                val requests = SlotRequests()
+                val running = requests.next()
+                val waiting = requests.next()
+                val lost = requests.next()
+                scheduler.submit(running, start)
+                scheduler.submit(waiting, start)
+                val holdings = HostHoldings(
+                    knownHeld = setOf(running.ticket),
+                    knownWaiting = setOf(waiting.ticket, lost.ticket)
+                )
+                val result = scheduler.reconcile(HostId("h1"), holdings, start)
+                result.missing shouldBe setOf(lost.ticket)
+                result.decisions.shouldBeEmpty()
+                scheduler.release(running.ticket, served(300), start)
+                    .granted() shouldContainExactly listOf(waiting.ticket)
+            }
+
             it("frees the slots of a host that has left") {
                 val scheduler = scheduler(fleetTarget("1"))
                 val gone = SlotRequests(HostId("gone")).next()
--- a/daemon/src/main/kotlin/io/primroseflow/daemon/entry/EntryHost.kt
+++ b/daemon/src/main/kotlin/io/primroseflow/daemon/entry/EntryHost.kt
@@ -142,10 +142,13 @@
         directory = directory,
         log = log,
         interval = FALLBACK_POLL_INTERVAL,
-        isDue = { !link.isAttached },
+        isDue = { true },
         onTargets = { slots.onTargets(version = 0, it) }
     )
     private var stoppingSince: Instant? = null
+
+    /** Tasks that run only while this host is detached, so that an attached host rests. */
+    private var detachedTasks: List<Job> = emptyList()
     private val metrics = EntryMetrics()
     private val admissionController = AdmissionController(policy, lease) { at ->
         stoppingSince?.let { at - it > STOP_ACCEPT_PERIOD } == true
@@ -175,9 +178,8 @@
             metricsListener(loop, scope, log, metrics.page).listen(settings.address, it)
         }
         every(REPORT_INTERVAL) { link.tick() }
-        every(LOCAL_SCHEDULER_TICK) { slots.tick() }
         every(TRIM_INTERVAL) { pool.closeStale(slots.targets.mapTo(HashSet()) { it.address }) }
-        scope.launch { poller.run() }
+        startDetachedTasks()
         log.info("host_started", "data_centre" to settings.dataCentre)
     }
 
@@ -201,15 +203,24 @@
         pool.closeAll()
     }
 
-    private fun every(interval: Duration, step: () -> Unit) {
-        scope.launch {
-            while (true) {
-                step()
-                delay(interval)
-            }
+    private fun every(interval: Duration, step: () -> Unit): Job = scope.launch {
+        while (true) {
+            step()
+            delay(interval)
         }
     }
 
+    private fun startDetachedTasks() {
+        if (detachedTasks.isNotEmpty()) return
+        detachedTasks =
+            listOf(every(LOCAL_SCHEDULER_TICK) { slots.tick() }, scope.launch { poller.run() })
+    }
+
+    private fun stopDetachedTasks() {
+        detachedTasks.forEach { it.cancel() }
+        detachedTasks = emptyList()
+    }
+
     private fun onPolicy(policy: RoutedPolicy) {
         slots.onPolicy(policy)
     }
@@ -220,6 +231,8 @@
 
             is PeerMessage.LeaderHint -> link.onHint(from, message)
 
+            is PeerMessage.RequestsMissing -> slots.onMissing(message)
+
             is PeerMessage.SlotGranted -> slots.onGranted(message)
 
             is PeerMessage.SlotRefused -> slots.onRefused(message)
@@ -358,9 +371,15 @@
 
         override fun fleetVersion(): Long = slots.fleetVersion
 
-        override fun onAttached() = slots.onAttached()
+        override fun onAttached() {
+            stopDetachedTasks()
+            slots.onAttached()
+        }
 
-        override fun onDetached() = slots.onDetached(link.share)
+        override fun onDetached() {
+            slots.onDetached(link.share)
+            startDetachedTasks()
+        }
     }
 
     private companion object {
--- a/daemon/src/main/kotlin/io/primroseflow/daemon/entry/SchedulerLink.kt
+++ b/daemon/src/main/kotlin/io/primroseflow/daemon/entry/SchedulerLink.kt
@@ -18,6 +18,9 @@
 /** Interval between two reports to the shared scheduler, which answers each of them. */
 internal val REPORT_INTERVAL: Duration = 200.milliseconds
 
+/** Interval between two reports of a host without requests. */
+private val IDLE_REPORT_INTERVAL: Duration = 600.milliseconds
+
 /** Time without an answer after which this host detaches and reports to all control hosts. */
 private val ANSWER_TIMEOUT: Duration = 450.milliseconds
 
@@ -27,16 +30,24 @@
 /**
  * The part of a report that describes the requests of this host.
  *
- * @property held slots that the host holds
- * @property waiting requests that wait for a slot
+ * @property held slots that the host holds and that the scheduler may not know
+ * @property waiting waiting requests that the scheduler may not know
+ * @property knownHeld tickets of the other slots that the host holds
+ * @property knownWaiting tickets of the other waiting requests
  * @property used units of each quota that the host has used within the window of the quotas, by
  *   interval from the latest to the earliest
  */
 internal class ReportedRequests(
     val held: List<HeldSlotRecord>,
     val waiting: List<SlotRequestRecord>,
-    val used: Map<TeamId, List<Long>>
-)
+    val knownHeld: List<Long> = emptyList(),
+    val knownWaiting: List<Long> = emptyList(),
+    val used: Map<TeamId, List<Long>> = emptyMap()
+) {
+    /** Whether there is no request to report. */
+    val isEmpty: Boolean
+        get() = held.isEmpty() && waiting.isEmpty() && knownHeld.isEmpty() && knownWaiting.isEmpty()
+}
 
 /** Supplies the reports of a [SchedulerLink] and is notified of its changes. */
 internal interface SchedulerLinkListener {
@@ -79,6 +90,7 @@
     private var leader: HostId? = null
     private var lastReportNumber = 0L
     private var unansweredSince: Instant? = null
+    private var lastReportAt = Instant.DISTANT_PAST
     private val pendingReports = ArrayDeque<PendingReport>()
 
     /** Term of the scheduler that this host is attached to, or 0 while it is detached. */
@@ -107,6 +119,9 @@
         report()
     }
 
+    /** Sends the next report at once, since the scheduler lacks some requests of this host. */
+    fun reportMissing() = report()
+
     /** Handles an answer to a report; ignores it if its term or report is outdated. */
     fun onReply(from: HostId, reply: PeerMessage.ReportReply) {
         if (reply.term < term) return
@@ -132,11 +147,14 @@
     private fun report() {
         val receivers = leader?.let { listOf(it) } ?: candidates()
         if (receivers.isEmpty()) return
+        val requests = listener.requests(term)
+        val now = clock.now()
+        if (isAttached && requests.isEmpty && now - lastReportAt < IDLE_REPORT_INTERVAL) return
+        lastReportAt = now
         val number = ++lastReportNumber
         pendingReports.addLast(PendingReport(number, lease.now()))
         if (pendingReports.size > MAX_PENDING_REPORTS) pendingReports.removeFirst()
-        if (unansweredSince == null) unansweredSince = clock.now()
-        val requests = listener.requests(term)
+        if (unansweredSince == null) unansweredSince = now
         val report = PeerMessage.HostReport(
             number = number,
             term = term,
@@ -145,6 +163,8 @@
             dataCentre = dataCentre,
             held = requests.held,
             waiting = requests.waiting,
+            knownHeld = requests.knownHeld,
+            knownWaiting = requests.knownWaiting,
             used = requests.used
         )
         receivers.forEach { send(it, report) }
--- a/daemon/src/main/kotlin/io/primroseflow/daemon/entry/SlotClient.kt
+++ b/daemon/src/main/kotlin/io/primroseflow/daemon/entry/SlotClient.kt
@@ -44,12 +44,19 @@
     private val clock: Clock,
     private val log: EventLog
 ) {
+    /** A request; the scheduler of [knownTerm] knows it, none if that is 0. */
     private class WaitingRequest(
         val request: SlotRequest,
-        val answer: CompletableDeferred<SlotDecision>
+        val answer: CompletableDeferred<SlotDecision>,
+        var knownTerm: Long = 0
     )
 
-    private class HeldRequest(val request: SlotRequest, val target: FleetTarget)
+    /** A slot; the scheduler of [knownTerm] knows it, none if that is 0. */
+    private class HeldRequest(
+        val request: SlotRequest,
+        val target: FleetTarget,
+        var knownTerm: Long
+    )
 
     private val waiting = LinkedHashMap<Long, WaitingRequest>()
     private val held = LinkedHashMap<Long, HeldRequest>()
@@ -85,6 +92,7 @@
         waiting[number] = entry
         val scheduler = localScheduler
         if (scheduler == null) {
+            entry.knownTerm = link.term
             link.sendToScheduler(PeerMessage.Wish(link.term, request.toRecord(clock.now())))
         } else {
             deliver(scheduler.submit(request, clock.now()))
@@ -179,17 +187,37 @@
         localScheduler?.let { deliver(it.tick(clock.now())) }
     }
 
-    /** Returns the requests and the usage of this host for a report to the scheduler of [term]. */
+    /**
+     * Returns the requests of this host for a report to the scheduler of [term], in full as far as
+     * that does not know them. A scheduler that may start, when [term] is 0, gets all of them and
+     * the usage of the quotas.
+     */
     fun reportedRequests(term: Long): ReportedRequests {
         val now = clock.now()
-        val isKnown = term > 0
+        val isNew = term == 0L
+        val (knownHeld, newHeld) = held.values.partition { !isNew && it.knownTerm == term }
+        val (knownWaiting, newWaiting) = waiting.values.partition { !isNew && it.knownTerm == term }
+        newHeld.forEach { it.knownTerm = term }
+        newWaiting.forEach { it.knownTerm = term }
         return ReportedRequests(
-            held = held.values.map { HeldSlotRecord(it.request.toRecord(now), it.target.id) },
-            waiting = waiting.values.map { it.request.toRecord(now) },
-            used = if (isKnown) emptyMap() else usage.recent(now)
+            held = newHeld.map { HeldSlotRecord(it.request.toRecord(now), it.target.id) },
+            waiting = newWaiting.map { it.request.toRecord(now) },
+            knownHeld = knownHeld.map { it.request.ticket.number },
+            knownWaiting = knownWaiting.map { it.request.ticket.number },
+            used = if (isNew) usage.recent(now) else emptyMap()
         )
     }
 
+    /** Handles the notice of the shared scheduler that it lacks some requests of this host. */
+    fun onMissing(message: PeerMessage.RequestsMissing) {
+        if (message.term != link.term) return
+        for (number in message.tickets) {
+            held[number]?.knownTerm = 0
+            waiting[number]?.knownTerm = 0
+        }
+        link.reportMissing()
+    }
+
     /** Returns the number of slots of each service that the requests of this host need. */
     private fun neededSlots(): Map<ServiceId, Int> =
         (held.values.map { it.request } + waiting.values.map { it.request })
@@ -219,7 +247,7 @@
             val number = decision.ticket.number
             val entry = waiting.remove(number) ?: continue
             if (decision is SlotDecision.Grant) {
-                held[number] = HeldRequest(entry.request, decision.target)
+                held[number] = HeldRequest(entry.request, decision.target, link.term)
                 val team = entry.request.team
                 if (team != null) usage.record(team, entry.request.cost, clock.now())
             }
--- a/daemon/src/main/kotlin/io/primroseflow/daemon/fleet/SharedScheduler.kt
+++ b/daemon/src/main/kotlin/io/primroseflow/daemon/fleet/SharedScheduler.kt
@@ -157,6 +157,7 @@
                 }
 
             is PeerMessage.ReportReply,
+            is PeerMessage.RequestsMissing,
             is PeerMessage.LeaderHint,
             is PeerMessage.SlotGranted,
             is PeerMessage.SlotRefused,
@@ -237,9 +238,16 @@
         }
         val holdings = HostHoldings(
             held = report.held.map { it.toHeldSlot(from, now) },
-            waiting = report.waiting.map { it.toSlotRequest(from, now) }
+            waiting = report.waiting.map { it.toSlotRequest(from, now) },
+            knownHeld = report.knownHeld.mapTo(HashSet()) { SlotTicket(from, it) },
+            knownWaiting = report.knownWaiting.mapTo(HashSet()) { SlotTicket(from, it) }
         )
-        deliver(active.reconcile(from, holdings, now).decisions)
+        val reconciliation = active.reconcile(from, holdings, now)
+        deliver(reconciliation.decisions)
+        if (reconciliation.missing.isNotEmpty()) {
+            val numbers = reconciliation.missing.map { it.number }
+            group.send(from, PeerMessage.RequestsMissing(term, numbers))
+        }
         pendingReports += PendingReport(from, report.number)
     }
 
--- a/daemon/src/main/kotlin/io/primroseflow/daemon/peer/PeerMessages.kt
+++ b/daemon/src/main/kotlin/io/primroseflow/daemon/peer/PeerMessages.kt
@@ -219,8 +219,10 @@
      * @property policy revision in force at the host
      * @property fleet version of the target list at the host
      * @property dataCentre data centre of the host
-     * @property held slots that requests of the host hold
-     * @property waiting requests of the host that wait for a slot
+     * @property held slots that requests of the host hold and that the receiver may not know
+     * @property waiting waiting requests of the host that the receiver may not know
+     * @property knownHeld tickets of the other slots that the host holds
+     * @property knownWaiting tickets of the other waiting requests
      * @property used units of each quota that the host has used within the window of the quotas, by
      *   interval from the latest to the earliest; empty if the receiver of the report has granted all of them
      */
@@ -234,6 +236,8 @@
         @SerialName("z") val dataCentre: DataCentreId,
         @SerialName("h") val held: List<HeldSlotRecord>,
         @SerialName("w") val waiting: List<SlotRequestRecord>,
+        @SerialName("i") val knownHeld: List<Long>,
+        @SerialName("j") val knownWaiting: List<Long>,
         @SerialName("u") val used: Map<TeamId, List<Long>>
     ) : Scheduling
 
@@ -254,6 +258,14 @@
         @SerialName("k") val share: FleetShare
     ) : Scheduling
 
+    /** The scheduler does not know the requests with [tickets], which a report named as known. */
+    @Serializable
+    @SerialName("mis")
+    data class RequestsMissing(
+        @SerialName("t") val term: Long,
+        @SerialName("n") val tickets: List<Long>
+    ) : Scheduling
+
     /**
      * The receiver of a report does not lead and therefore does not schedule.
      *
--- a/daemon/src/test/kotlin/io/primroseflow/daemon/entry/SchedulerLinkTest.kt
+++ b/daemon/src/test/kotlin/io/primroseflow/daemon/entry/SchedulerLinkTest.kt
@@ -3,6 +3,7 @@
 import com.github.michaelbull.result.Err
 import io.kotest.core.spec.style.DescribeSpec
 import io.kotest.matchers.collections.shouldContainExactly
+import io.kotest.matchers.collections.shouldHaveSize
 import io.kotest.matchers.shouldBe
 import io.primroseflow.control.PolicyRevision
 import io.primroseflow.daemon.EventLog
@@ -29,6 +30,7 @@
     val clock = StepClock()
     val sent = ArrayList<Pair<HostId, PeerMessage.HostReport>>()
     val events = ArrayList<String>()
+    var reported = ReportedRequests(emptyList(), emptyList(), knownHeld = listOf(1))
     private val log = EventLog("test", "test")
     val lease = PolicyLease(5.seconds, clock, clock)
     val link = SchedulerLink(
@@ -42,7 +44,7 @@
         listener = this
     )
 
-    override fun requests(term: Long) = ReportedRequests(emptyList(), emptyList(), emptyMap())
+    override fun requests(term: Long) = reported
 
     override fun fleetVersion() = 0L
 
@@ -95,6 +97,22 @@
                 fixture.events shouldContainExactly listOf("attached", "detached")
             }
 
+            it("gets fewer reports from a host without requests") {
+                val fixture = LinkFixture()
+                fixture.link.tick()
+                fixture.reply(a, number = 1, term = 1)
+                fixture.reported = ReportedRequests(emptyList(), emptyList())
+                fixture.receivers()
+                repeat(15) {
+                    fixture.advance(200.milliseconds)
+                    fixture.link.tick()
+                    fixture.sent.lastOrNull()?.let { (_, sent) ->
+                        fixture.reply(a, number = sent.number, term = 1)
+                    }
+                }
+                fixture.receivers() shouldHaveSize 5
+            }
+
             it("of an older term does not replace the current one") {
                 val fixture = LinkFixture()
                 fixture.link.tick()
