Let hosts on their own grant the mean of their former usage and an equal share

Change: half of what it was granted in the window plus half of an equal share. The sum over all hosts never exceeds the quota, also when none has a scheduler for long, which the former rule did not guarantee.

--- a/core/src/main/kotlin/io/primroseflow/fleet/TeamQuotas.kt
+++ b/core/src/main/kotlin/io/primroseflow/fleet/TeamQuotas.kt
@@ -176,12 +176,13 @@
     }
 }
 
-/** Fraction of its equal share of a quota that a host without recent usage may grant alone. */
-private const val UNUSED_SHARE_FRACTION = 0.5
+/** Weight of a host's past usage, against an equal share, in what it may grant alone. */
+private const val PAST_USAGE_WEIGHT = 0.5
 
 /**
- * Returns the fraction of [quota] that a host may grant while it schedules alone: what it was
- * granted within the last [window], but at least half of an equal share.
+ * Returns the fraction of [quota] that a host may grant while it schedules alone: the mean of what
+ * it was granted within the last [window] and of an equal share. The fractions of all hosts add up
+ * to no more than the quota, even if none of them has a scheduler for long.
  *
  * @param used units that the host has used within the window
  * @param hosts number of hosts that share the quota
@@ -193,7 +194,8 @@
     window: Duration
 ): Double {
     val past = used / quota.allowedIn(window)
-    return maxOf(past, UNUSED_SHARE_FRACTION / hosts.coerceAtLeast(1)).coerceAtMost(1.0)
+    val equal = 1.0 / hosts.coerceAtLeast(1)
+    return (PAST_USAGE_WEIGHT * past + (1 - PAST_USAGE_WEIGHT) * equal).coerceAtMost(1.0)
 }
 
 /** Returns the units that the quota allows within any span of [window]. */
