Keep the retry budget of a service at the shared scheduler

Cause: each host had an equal part of the allowance; of 230 retries in 10 s, one of 95 hosts may use one, while the failures come to the hosts of a few callers, and the rest stays unused.

Change: retries are marked in slot requests and counted by the scheduler over all hosts; a host on its own still has its equal part. A request refused for it gets its target's failure, as before.

Test: 'the retry budget of a service' (19 of 50 retries of one host among 91; 1 with a 91st of the allowance).

--- a/bench/src/main/kotlin/io/primroseflow/bench/replay/FleetReplay.kt
+++ b/bench/src/main/kotlin/io/primroseflow/bench/replay/FleetReplay.kt
@@ -201,6 +201,7 @@
             outputLimit = MAX_OUTPUT_TOKENS,
             parts = parts,
             excluded = emptySet(),
+            isRetry = false,
             arrivedAt = now,
             goal = now + kind.goal,
             startBy = now + kind.patience,
--- a/core/src/main/kotlin/io/primroseflow/fleet/FleetModel.kt
+++ b/core/src/main/kotlin/io/primroseflow/fleet/FleetModel.kt
@@ -52,6 +52,7 @@
  * @property outputLimit maximum length of the answer in tokens
  * @property parts parts of the prompt in order
  * @property excluded targets that the request was already sent to
+ * @property isRetry whether the request has reached a target before, so that it counts as a retry
  * @property goal time by which the answer should begin
  * @property startBy time by which the answer must begin, as the caller gives up then
  * @property deadline time after which the answer is of no use
@@ -71,6 +72,7 @@
     val outputLimit: Int,
     val parts: List<PromptPart>,
     val excluded: Set<TargetId>,
+    val isRetry: Boolean,
     val arrivedAt: Instant,
     val goal: Instant,
     val startBy: Instant,
@@ -86,6 +88,9 @@
     /** The deadline cannot be met. */
     TooLate,
 
+    /** The retry budget of the service is exhausted. */
+    NoRetryLeft,
+
     /** The service has no target that accepts requests. */
     NoTarget
 }
--- a/core/src/main/kotlin/io/primroseflow/fleet/FleetScheduler.kt
+++ b/core/src/main/kotlin/io/primroseflow/fleet/FleetScheduler.kt
@@ -1,5 +1,7 @@
 package io.primroseflow.fleet
 
+import io.primroseflow.limits.RetryBudget
+import io.primroseflow.limits.RetryLimits
 import io.primroseflow.model.HostId
 import io.primroseflow.model.TargetId
 import io.primroseflow.model.TeamId
@@ -69,12 +71,14 @@
  *
  * @param share share of the slots and quotas that this scheduler grants
  * @param tolerance how far the usage over all hosts may exceed a quota
+ * @param retryLimits limits of the retries to each service, or `null` for none
  * @param neededSlots slots of each service that the requests of a host on its own need; it may use
  *   them even if they are more than its share
  */
 public class FleetScheduler(
     private val share: FleetShare = FleetShare(),
     tolerance: QuotaTolerance = QuotaTolerance.NONE,
+    private val retryLimits: RetryLimits? = null,
     private val neededSlots: Map<ServiceId, Int> = emptyMap()
 ) {
     private class RunningRequest(
@@ -89,6 +93,7 @@
     private val running = HashMap<SlotTicket, RunningRequest>()
     private val runningByHost = HashMap<HostId, HashMap<SlotTicket, RunningRequest>>()
     private val quotas = TeamQuotas(tolerance)
+    private val retryBudgets = HashMap<ServiceId, RetryBudget>()
     private var standaloneFractions: Map<TeamId, Double> = emptyMap()
     private var listedTargets: List<FleetTarget> = emptyList()
     private var isTargetListKnown = false
@@ -166,11 +171,20 @@
      */
     public fun submit(request: SlotRequest, now: Instant): List<SlotDecision> {
         if (isKnown(request)) return emptyList()
+        if (request.isRetry && !tryRetry(request.service, now)) {
+            return listOf(refusal(request, SlotRefusal.NoRetryLeft, MIN_RETRY_AFTER))
+        }
         val wait = quotas.chargeOrWait(request, now)
         if (wait != null) return listOf(refusal(request, SlotRefusal.OverQuota, wait))
         return enqueue(request, now)
     }
 
+    private fun tryRetry(service: ServiceId, now: Instant): Boolean =
+        budgetOf(service)?.tryRetry(share.hosts, now) ?: true
+
+    private fun budgetOf(service: ServiceId): RetryBudget? =
+        retryLimits?.let { limits -> retryBudgets.getOrPut(service) { RetryBudget(limits) } }
+
     private fun isKnown(request: SlotRequest) =
         request.ticket in running || request.ticket in stateOf(request.service).queue
 
@@ -339,6 +353,8 @@
                 continue
             }
             quotas.recordUse(estimated.request, now)
+            val isFirst = !estimated.request.isRetry
+            if (isFirst) budgetOf(estimated.request.service)?.recordFirstAttempt(now)
             target.beginPrefill(estimated, now)
             target.start(estimated)
             addRunning(ticket, RunningRequest(estimated, target.target.id, now))
--- a/core/src/test/kotlin/io/primroseflow/fleet/FleetSchedulerTest.kt
+++ b/core/src/test/kotlin/io/primroseflow/fleet/FleetSchedulerTest.kt
@@ -10,6 +10,7 @@
 import io.kotest.matchers.comparables.shouldBeGreaterThan
 import io.kotest.matchers.comparables.shouldBeLessThanOrEqualTo
 import io.kotest.matchers.shouldBe
+import io.primroseflow.limits.RetryLimits
 import io.primroseflow.limits.UsageHistory
 import io.primroseflow.model.DataCentreId
 import io.primroseflow.model.HostId
@@ -504,6 +505,59 @@
             }
         }
 
+        describe("the fractions of a quota that hosts grant alone") {
+            val quota = TeamQuota(perSecond = 1_000.0, burst = 1_000.0, plainCost = 10)
+
+            it("add up to no more than the quota, however the usage was spread") {
+                for (usage in listOf(listOf(9_000, 0, 0, 0), listOf(4_000, 3_000, 2_000, 0))) {
+                    usage.sumOf { standaloneFraction(it.toDouble(), quota, 4, 8.seconds) }
+                        .shouldBeLessThanOrEqualTo(1.0 + 1e-9)
+                }
+            }
+
+            it("leave room above the former usage if the quota has room") {
+                standaloneFraction(1_125.0, quota, 4, 8.seconds) * 1_000 shouldBeGreaterThan 140.0
+            }
+        }
+
+        describe("the retry budget of a service") {
+            val limits = RetryLimits(ratio = 0.2, allowance = 20, window = 10.seconds)
+
+            fun granted(scheduler: FleetScheduler, requests: List<SlotRequest>): Int =
+                requests.sumOf { scheduler.submit(it, start).granted().size }
+
+            // Ninety hosts with a ninetieth of the allowance each could not retry at all.
+            it("is shared by all hosts, whichever of them needs it") {
+                val scheduler = FleetScheduler(retryLimits = limits)
+                scheduler.updatePolicy(fleetPolicy(), start)
+                scheduler.updateTargets(listOf(fleetTarget("1", 500)), start)
+                for (host in 1..90) {
+                    granted(scheduler, listOf(SlotRequests(HostId("h$host")).next(prompt = 10)))
+                }
+                val one = SlotRequests(HostId("other"))
+                granted(scheduler, List(50) { one.next(prompt = 10, isRetry = true) }) shouldBe 19
+            }
+
+            it("refuses what exceeds it with a reason of its own") {
+                val scheduler = FleetScheduler(retryLimits = limits.copy(allowance = 0))
+                scheduler.updatePolicy(fleetPolicy(), start)
+                scheduler.updateTargets(listOf(fleetTarget("1", 500)), start)
+                scheduler.submit(SlotRequests().next(isRetry = true), start).refused()
+                    .single().reason shouldBe SlotRefusal.NoRetryLeft
+            }
+
+            it("is divided among hosts that schedule alone") {
+                val alone = (0..<10).sumOf { host ->
+                    val scheduler = FleetScheduler(FleetShare(10, host), retryLimits = limits)
+                    scheduler.updatePolicy(fleetPolicy(), start)
+                    scheduler.updateTargets(listOf(fleetTarget("1", 500)), start)
+                    val requests = SlotRequests(HostId("h$host"))
+                    granted(scheduler, List(50) { requests.next(prompt = 10, isRetry = true) })
+                }
+                alone shouldBeLessThanOrEqualTo 20
+            }
+        }
+
         describe("a takeover") {
             it("restores held slots from the reports of the hosts, so that none is granted twice") {
                 val former = scheduler(fleetTarget("1"))
--- a/daemon/src/main/kotlin/io/primroseflow/daemon/HostProcesses.kt
+++ b/daemon/src/main/kotlin/io/primroseflow/daemon/HostProcesses.kt
@@ -16,6 +16,7 @@
 import io.primroseflow.daemon.storage.DiskFolder
 import io.primroseflow.daemon.target.TargetConnectionPool
 import io.primroseflow.fleet.QuotaTolerance
+import io.primroseflow.limits.RetryLimits
 import io.primroseflow.model.DataCentreId
 import java.nio.file.Path
 import kotlin.random.Random
@@ -62,6 +63,7 @@
  * @property isFirstStart whether the whole system starts for the first time
  * @property dataFolder folder of the durable state
  * @property voters number of voting replicas that the control group aims for
+ * @property retryLimits limits of the retries to each service over all hosts
  * @property metricsPort port on which metrics are served, `null` for none
  */
 public data class ControlProcessSettings(
@@ -74,6 +76,7 @@
     val dataFolder: Path,
     val voters: Int,
     val quotaTolerance: QuotaTolerance,
+    val retryLimits: RetryLimits,
     val metricsPort: Int? = null
 )
 
@@ -133,7 +136,8 @@
             seeds = settings.seeds,
             isFirstStart = settings.isFirstStart,
             voters = settings.voters,
-            quotaTolerance = settings.quotaTolerance
+            quotaTolerance = settings.quotaTolerance,
+            retryLimits = settings.retryLimits
         ),
         loop = context.loop,
         folder = DiskFolder(settings.dataFolder),
--- a/daemon/src/main/kotlin/io/primroseflow/daemon/StartupRehearsal.kt
+++ b/daemon/src/main/kotlin/io/primroseflow/daemon/StartupRehearsal.kt
@@ -121,7 +121,8 @@
             seeds = { setOf(CONTROL_ADDRESS) },
             isFirstStart = true,
             voters = 1,
-            quotaTolerance = QuotaTolerance.NONE
+            quotaTolerance = QuotaTolerance.NONE,
+            retryLimits = RetryLimits()
         ),
         loop = context.loop,
         folder = DiskFolder(Files.createTempDirectory("rehearsal")),
--- a/daemon/src/main/kotlin/io/primroseflow/daemon/control/ControlHost.kt
+++ b/daemon/src/main/kotlin/io/primroseflow/daemon/control/ControlHost.kt
@@ -33,6 +33,7 @@
 import io.primroseflow.daemon.storage.ReplicaStorage
 import io.primroseflow.daemon.storage.StorageError
 import io.primroseflow.fleet.QuotaTolerance
+import io.primroseflow.limits.RetryLimits
 import io.primroseflow.model.DataCentreId
 import io.primroseflow.model.HostId
 import io.primroseflow.timeline.HybridClock
@@ -65,6 +66,7 @@
  * @property isFirstStart whether the whole system starts for the first time; only then may the
  *   seeds form a new group
  * @property voters target number of voting replicas
+ * @property retryLimits limits of the retries to each service over all hosts
  */
 internal data class ControlHostSettings(
     val address: String,
@@ -73,7 +75,8 @@
     val seeds: () -> Set<String>,
     val isFirstStart: Boolean,
     val voters: Int,
-    val quotaTolerance: QuotaTolerance
+    val quotaTolerance: QuotaTolerance,
+    val retryLimits: RetryLimits
 )
 
 /**
@@ -223,7 +226,14 @@
         )
         val client: ControlClient = ControlClient(clock, links::send, seedHosts())
         val scheduler: SharedScheduler =
-            SharedScheduler(this, policy, clock, settings.quotaTolerance, log)
+            SharedScheduler(
+                this,
+                policy,
+                clock,
+                settings.quotaTolerance,
+                settings.retryLimits,
+                log
+            )
         private val poller: DirectoryPoller = DirectoryPoller(
             directory = directory,
             log = log,
--- a/daemon/src/main/kotlin/io/primroseflow/daemon/entry/EntryHost.kt
+++ b/daemon/src/main/kotlin/io/primroseflow/daemon/entry/EntryHost.kt
@@ -20,12 +20,10 @@
 import io.primroseflow.daemon.socket.EventLoop
 import io.primroseflow.daemon.target.TargetConnectionPool
 import io.primroseflow.daemon.target.TargetExchanger
-import io.primroseflow.limits.RetryBudget
 import io.primroseflow.limits.RetryLimits
 import io.primroseflow.model.DataCentreId
 import io.primroseflow.model.HostId
 import io.primroseflow.routing.RoutedPolicy
-import io.primroseflow.routing.ServiceId
 import io.primroseflow.timeline.HybridClock
 import kotlin.time.Clock
 import kotlin.time.Duration
@@ -98,10 +96,9 @@
 ) {
     private val self = HostId(settings.address)
     private val lease = PolicyLease(settings.leaseDuration, clock, wallClock)
-    private val slots = SlotClient(self, settings.quotaWindow, clock, log)
+    private val slots = SlotClient(self, settings.quotaWindow, settings.retryLimits, clock, log)
     private val policy = RoutedPolicyInForce(decoder, log, ::onPolicy)
     private val pool = TargetConnectionPool(loop, clock)
-    private val budgets = HashMap<ServiceId, RetryBudget>()
     private val links = PeerLinks(
         self = self,
         loop = loop,
@@ -126,9 +123,7 @@
         dataCentre = settings.dataCentre,
         dialect = dialect,
         slots = slots,
-        exchanger = TargetExchanger(pool, dialect),
-        hostCount = { link.share.hosts },
-        budgetOf = { budgets.getOrPut(it) { RetryBudget(settings.retryLimits) } }
+        exchanger = TargetExchanger(pool, dialect)
     )
     private val callers = HttpListener(
         loop = loop,
--- a/daemon/src/main/kotlin/io/primroseflow/daemon/entry/RequestRelay.kt
+++ b/daemon/src/main/kotlin/io/primroseflow/daemon/entry/RequestRelay.kt
@@ -15,7 +15,6 @@
 import io.primroseflow.fleet.SlotEnd
 import io.primroseflow.fleet.SlotRefusal
 import io.primroseflow.fleet.SlotRequest
-import io.primroseflow.limits.RetryBudget
 import io.primroseflow.model.DataCentreId
 import io.primroseflow.model.TargetId
 import io.primroseflow.routing.Repeatability
@@ -59,20 +58,13 @@
 internal class CallerDisconnectedException(cause: IOException) :
     CancellationException("the caller's connection failed: ${cause.message}")
 
-/**
- * The components of a host that all its relays use.
- *
- * @property hostCount returns the number of entry hosts that share the retry budgets
- * @property budgetOf returns the retry budget of a service
- */
+/** The components of a host that all its relays use. */
 internal class RelayContext(
     val clock: Clock,
     val dataCentre: DataCentreId,
     val dialect: Dialect,
     val slots: SlotClient,
-    val exchanger: TargetExchanger,
-    val hostCount: () -> Int,
-    val budgetOf: (ServiceId) -> RetryBudget
+    val exchanger: TargetExchanger
 )
 
 /**
@@ -125,6 +117,9 @@
     private var dispatches = 0
     private var attempts = 0
     private var lastFailure: ExchangeResult.Buffered? = null
+
+    /** Whether a dispatch has arrived at a target, so that the next one counts as a retry. */
+    private var hasReachedTarget = false
     private var lastCause = ""
 
     /** Whether a target may have run the request. */
@@ -189,6 +184,7 @@
             outputLimit = traits.outputLimit ?: 0,
             parts = traits.parts,
             excluded = excluded.toSet(),
+            isRetry = hasReachedTarget,
             arrivedAt = request.arrivedAt,
             goal = request.arrivedAt + route.latencyGoal,
             startBy = minOf(request.deadline, waitsSince + route.callerProgressTimeout),
@@ -196,14 +192,16 @@
         )
     }
 
-    private fun resultOfRefusal(decision: SlotDecision.Refuse): RelayResult {
+    private suspend fun resultOfRefusal(decision: SlotDecision.Refuse): RelayResult {
         lastCause = "refused: ${decision.reason}"
         if (hasStream) return RelayResult.Broken(lastCause)
+        lastFailure?.let { return forward(it) }
         if (mayHaveRun) return RelayResult.Refused(EntryRefusal.AnswerLost)
         val refusal = when (decision.reason) {
             SlotRefusal.OverQuota -> EntryRefusal.OverQuota
             SlotRefusal.TooLate -> EntryRefusal.DeadlineUnreachable
             SlotRefusal.NoTarget -> EntryRefusal.NoTarget
+            SlotRefusal.NoRetryLeft -> EntryRefusal.TargetsBusy
         }
         return RelayResult.Refused(refusal, decision.retryAfter)
     }
@@ -213,7 +211,6 @@
         var end: SlotEnd = SlotEnd.Cancelled
         dispatches++
         targets += target.id
-        if (dispatches == 1) context.budgetOf(request.service.id).recordFirstAttempt(start)
         val listener = Listener()
         try {
             val result = context.exchanger.run(dispatchTo(target), listener)
@@ -292,14 +289,16 @@
         is ExchangeResult.NotRun -> {
             lastCause = result.cause
             excludeLastTarget()
-            if (canRetry(hasReachedTarget = !result.isUnreachable)) null else failureResult()
+            if (!result.isUnreachable) hasReachedTarget = true
+            if (canRetry()) null else failureResult()
         }
 
         is ExchangeResult.Failed -> {
             lastCause = result.cause
             excludeLastTarget()
             val isRepeatable = route.repeatability != Repeatability.NonIdempotent
-            if (isRepeatable && canRetry(hasReachedTarget = true)) null else failureResult()
+            hasReachedTarget = true
+            if (isRepeatable && canRetry()) null else failureResult()
         }
     }
 
@@ -312,7 +311,8 @@
             lastFailure = result
             lastCause = "answered $status"
             excludeLastTarget()
-            if (canRetry(hasReachedTarget = true)) return null
+            hasReachedTarget = true
+            if (canRetry()) return null
         }
         return forward(result)
     }
@@ -340,7 +340,7 @@
         targets.lastOrNull()?.let { excluded += it }
     }
 
-    private fun canRetry(hasReachedTarget: Boolean): Boolean {
+    private fun canRetry(): Boolean {
         if (
             attempts >= route.maxAttempts ||
             dispatches >= route.maxAttempts + MAX_EXTRA_DISPATCHES
@@ -348,9 +348,7 @@
             return false
         }
         if (clock.now() >= request.deadline) return false
-        if (!hasReachedTarget) return true
-        val budget = context.budgetOf(request.service.id)
-        return budget.tryRetry(context.hostCount(), clock.now())
+        return true
     }
 
     /** Runs [write] so that a failure of the caller's connection is not taken for the target's. */
--- a/daemon/src/main/kotlin/io/primroseflow/daemon/entry/SlotClient.kt
+++ b/daemon/src/main/kotlin/io/primroseflow/daemon/entry/SlotClient.kt
@@ -14,6 +14,7 @@
 import io.primroseflow.fleet.SlotRequest
 import io.primroseflow.fleet.SlotTicket
 import io.primroseflow.fleet.standaloneFraction
+import io.primroseflow.limits.RetryLimits
 import io.primroseflow.limits.UsageHistory
 import io.primroseflow.model.HostId
 import io.primroseflow.model.TeamId
@@ -37,10 +38,12 @@
  * quotas. It is not thread-safe.
  *
  * @param quotaWindow length of the sliding window in which quotas limit the usage
+ * @param retryLimits limits of the retries to each service over all hosts
  */
 internal class SlotClient(
     private val self: HostId,
     private val quotaWindow: Duration,
+    private val retryLimits: RetryLimits,
     private val clock: Clock,
     private val log: EventLog
 ) {
@@ -165,7 +168,11 @@
     /** Starts a local scheduler that grants [share] and takes over the requests of this host. */
     fun onDetached(share: FleetShare) {
         val now = clock.now()
-        val scheduler = FleetScheduler(share, neededSlots = neededSlots())
+        val scheduler = FleetScheduler(
+            share,
+            retryLimits = retryLimits,
+            neededSlots = neededSlots()
+        )
         policy?.let { scheduler.updatePolicy(it, now) }
         scheduler.updateQuotaFractions(quotaFractions(share, now), now)
         scheduler.capQuotaLevels(LOCAL_BURST_FRACTION, now)
--- a/daemon/src/main/kotlin/io/primroseflow/daemon/fleet/SharedScheduler.kt
+++ b/daemon/src/main/kotlin/io/primroseflow/daemon/fleet/SharedScheduler.kt
@@ -15,6 +15,7 @@
 import io.primroseflow.fleet.SlotDecision
 import io.primroseflow.fleet.SlotEnd
 import io.primroseflow.fleet.SlotTicket
+import io.primroseflow.limits.RetryLimits
 import io.primroseflow.model.DataCentreId
 import io.primroseflow.model.HostId
 import io.primroseflow.routing.RoutedPolicy
@@ -71,6 +72,7 @@
     private val policy: RoutedPolicyInForce,
     private val clock: Clock,
     private val tolerance: QuotaTolerance,
+    private val retryLimits: RetryLimits,
     private val log: EventLog
 ) {
     private class HostEntry(val heardAt: Instant, val report: PeerMessage.HostReport) {
@@ -279,7 +281,7 @@
         shares = null
         pendingReports.clear()
         val now = clock.now()
-        val fresh = FleetScheduler(tolerance = tolerance)
+        val fresh = FleetScheduler(tolerance = tolerance, retryLimits = retryLimits)
         policy.table?.let { fresh.updatePolicy(it.policy, now) }
         if (now - listedAt > TARGET_LIST_MAX_AGE) hasTargetList = false
         if (hasTargetList) fresh.updateTargets(targetList.targets, now)
--- a/daemon/src/test/kotlin/io/primroseflow/daemon/entry/RoutedFixture.kt
+++ b/daemon/src/test/kotlin/io/primroseflow/daemon/entry/RoutedFixture.kt
@@ -153,7 +153,8 @@
             seeds = { setOf(CONTROL_ADDRESS) },
             isFirstStart = true,
             voters = 1,
-            quotaTolerance = tolerance
+            quotaTolerance = tolerance,
+            retryLimits = RetryLimits(allowance = 100)
         ),
         loop,
         DiskFolder(folder),
