Leave a scheduler as soon as the connection to it fails

Cause: after a kill of the leading control host, each host waited 450 ms for an answer, although its connection was reset at once.

Change: peer links tell when a connection has failed or cannot be opened; a host attached to that scheduler detaches and asks all control hosts. Silence without a reset still takes 450 ms.

Tests: SchedulerLinkTest 'is abandoned at once', PeerLinksTest 'tells when the other host has closed its port'; both are new ways, not seen failing.

--- a/daemon/src/main/kotlin/io/primroseflow/daemon/entry/EntryHost.kt
+++ b/daemon/src/main/kotlin/io/primroseflow/daemon/entry/EntryHost.kt
@@ -106,6 +106,7 @@
         clock = clock,
         hybridClock = HybridClock(Clock.System),
         handler = ::handle,
+        onLost = { link.onConnectionLost(it) },
         resolve = { PeerAddress(it, settings.dataCentre, it.machine(), settings.peerPort) }
     )
     private val link: SchedulerLink = SchedulerLink(
--- a/daemon/src/main/kotlin/io/primroseflow/daemon/entry/SchedulerLink.kt
+++ b/daemon/src/main/kotlin/io/primroseflow/daemon/entry/SchedulerLink.kt
@@ -143,6 +143,13 @@
         }
     }
 
+    /** Handles the failure of the connection to [host], long before an answer would be missed. */
+    fun onConnectionLost(host: HostId) {
+        if (!isAttached || host.machine() != leader?.machine()) return
+        detach("connection lost")
+        report()
+    }
+
     /** Sends a report to the scheduler or, while detached, to all known control hosts. */
     private fun report() {
         val receivers = leader?.let { listOf(it) } ?: candidates()
--- a/daemon/src/main/kotlin/io/primroseflow/daemon/peer/PeerLinks.kt
+++ b/daemon/src/main/kotlin/io/primroseflow/daemon/peer/PeerLinks.kt
@@ -77,6 +77,7 @@
  * side opens a new one.
  *
  * @param loop owns the sockets and runs the coroutines that use them
+ * @param onLost called when a connection to a host has failed or could not be opened
  * @param resolve returns the address of a host that [updateAddresses] has not set
  */
 internal class PeerLinks(
@@ -86,6 +87,7 @@
     private val clock: Clock,
     private val hybridClock: HybridClock,
     private val resolve: (HostId) -> PeerAddress? = { null },
+    private val onLost: (HostId) -> Unit = {},
     private val handler: PeerHandler
 ) : AutoCloseable {
     private val log = LogManager.getLogger(PeerLinks::class.java)
@@ -162,6 +164,7 @@
             socket.use { runSession(to, it, link) }
         } catch (e: IOException) {
             log.debug("connection to {} failed: {}", to, e.toString())
+            onLost(to)
         } catch (e: SerializationException) {
             log.warn("connection to {} received a malformed frame: {}", to, e.toString())
         } catch (e: PeerProtocolException) {
--- a/daemon/src/test/kotlin/io/primroseflow/daemon/entry/SchedulerLinkTest.kt
+++ b/daemon/src/test/kotlin/io/primroseflow/daemon/entry/SchedulerLinkTest.kt
@@ -97,6 +97,18 @@
                 fixture.events shouldContainExactly listOf("attached", "detached")
             }
 
+            it("is abandoned at once when the connection to it fails") {
+                val fixture = LinkFixture()
+                fixture.link.tick()
+                fixture.reply(a, number = 1, term = 1)
+                fixture.receivers()
+                fixture.link.onConnectionLost(b)
+                fixture.link.isAttached shouldBe true
+                fixture.link.onConnectionLost(a)
+                fixture.link.isAttached shouldBe false
+                fixture.receivers() shouldContainExactly listOf(a, b)
+            }
+
             it("gets fewer reports from a host without requests") {
                 val fixture = LinkFixture()
                 fixture.link.tick()
--- a/daemon/src/test/kotlin/io/primroseflow/daemon/peer/PeerLinksTest.kt
+++ b/daemon/src/test/kotlin/io/primroseflow/daemon/peer/PeerLinksTest.kt
@@ -3,6 +3,7 @@
 import io.kotest.core.spec.style.DescribeSpec
 import io.kotest.matchers.collections.shouldContain
 import io.kotest.matchers.ints.shouldBeGreaterThan
+import io.kotest.matchers.ints.shouldBeGreaterThan
 import io.kotest.matchers.shouldBe
 import io.primroseflow.control.PolicyRevision
 import io.primroseflow.daemon.MonotonicClock
@@ -31,12 +32,18 @@
 
 private class TestPeer(name: HostId) : AutoCloseable {
     val received = CopyOnWriteArrayList<PeerMessage>()
+    val lost = CopyOnWriteArrayList<HostId>()
     private val scope = CoroutineScope(SupervisorJob() + Dispatchers.Default)
     private val loop = EventLoop("peers")
     val links =
-        PeerLinks(name, loop, scope, MonotonicClock(), HybridClock(Clock.System)) { _, message ->
-            received += message
-        }
+        PeerLinks(
+            self = name,
+            loop = loop,
+            scope = scope,
+            clock = MonotonicClock(),
+            hybridClock = HybridClock(Clock.System),
+            onLost = { lost += it }
+        ) { _, message -> received += message }
 
     override fun close() {
         scope.cancel()
@@ -60,6 +67,20 @@
                 }
             }
 
+            it("tells when the other host has closed its port") {
+                TestPeer(a).use { from ->
+                    val port = TestPeer(b).use { to ->
+                        to.links.listen("127.0.0.1", 0).also { port ->
+                            from.links.updateAddresses(listOf(address(b, port)))
+                            from.links.send(b, message(1))
+                            awaitTrue { to.received.isNotEmpty() }
+                        }
+                    }
+                    port shouldBeGreaterThan 0
+                    awaitTrue { b in from.lost }
+                }
+            }
+
             it("is dialled again if its connection dies silently") {
                 TestPeer(a).use { from ->
                     TestPeer(b).use { to ->
