--- a/core/src/main/kotlin/io/primroseflow/fleet/FleetScheduler.kt
+++ b/core/src/main/kotlin/io/primroseflow/fleet/FleetScheduler.kt
@@ -56,10 +56,7 @@
  * @property missing reported tickets of requests that the scheduler does not know, so that the host
  *   must report these requests in full
  */
-public data class Reconciliation(
-    val decisions: List<SlotDecision>,
-    val missing: Set<SlotTicket>
-)
+public data class Reconciliation(val decisions: List<SlotDecision>, val missing: Set<SlotTicket>)
 
 /**
  * Grants the slots of all targets, within the quotas of the teams, to the requests of all hosts.
@@ -260,11 +257,12 @@
         return Reconciliation(decisions, unknownOf(holdings))
     }
 
-    private fun unknownOf(holdings: HostHoldings): Set<SlotTicket> =
-        (holdings.knownHeld.filter { it !in running } +
+    private fun unknownOf(holdings: HostHoldings): Set<SlotTicket> = (
+        holdings.knownHeld.filter { it !in running } +
             holdings.knownWaiting.filter { ticket ->
                 ticket !in running && services.values.none { ticket in it.queue }
-            }).toSet()
+            }
+        ).toSet()
 
     private fun regrant(ticket: SlotTicket, slot: RunningRequest): List<SlotDecision> {
         val target = stateOf(slot.request.service).targets.findOrNull(slot.target)
--- a/core/src/main/kotlin/io/primroseflow/fleet/FleetShare.kt
+++ b/core/src/main/kotlin/io/primroseflow/fleet/FleetShare.kt
@@ -61,7 +61,9 @@
         val rounds = targets.maxOfOrNull { it.slots } ?: 0
         // Rotating the order in each round spreads the slots of one host over several targets.
         val slots = (0..<rounds).flatMap { round ->
-            List(ordered.size) { ordered[(it + round).mod(ordered.size)] }.filter { round < it.slots }
+            List(ordered.size) {
+                ordered[(it + round).mod(ordered.size)]
+            }.filter { round < it.slots }
         }
         if (slots.isEmpty()) return emptyMap()
         val equal = (slots.size - index + count - 1) / count
--- a/core/src/main/kotlin/io/primroseflow/fleet/TeamQuotas.kt
+++ b/core/src/main/kotlin/io/primroseflow/fleet/TeamQuotas.kt
@@ -90,7 +90,10 @@
         if (settlingUntil?.let { now < it } != false) return
         settlingUntil = null
         for ((team, quota) in quotas) {
-            quota.bucket.raiseLevel(quota.limit.allowedIn(tolerance.window) - usedOf(team, now), now)
+            quota.bucket.raiseLevel(
+                quota.limit.allowedIn(tolerance.window) - usedOf(team, now),
+                now
+            )
         }
     }
 
@@ -199,4 +202,5 @@
 }
 
 /** Returns the units that the quota allows within any span of [window]. */
-internal fun TeamQuota.allowedIn(window: Duration): Double = perSecond * (window / 1.seconds) + burst
+internal fun TeamQuota.allowedIn(window: Duration): Double =
+    perSecond * (window / 1.seconds) + burst
--- a/core/src/test/kotlin/io/primroseflow/fleet/FleetSchedulerTest.kt
+++ b/core/src/test/kotlin/io/primroseflow/fleet/FleetSchedulerTest.kt
@@ -442,7 +442,11 @@
                         val now = start + 10.milliseconds * step
                         val past = used[index].total(TeamId("t"), now).toDouble()
                         val fraction = standaloneFraction(past, quota, 4, tolerance.window)
-                        return scheduler(target, quota = quota, share = FleetShare(4, index)).apply {
+                        return scheduler(
+                            target,
+                            quota = quota,
+                            share = FleetShare(4, index)
+                        ).apply {
                             updateQuotaFractions(mapOf(TeamId("t") to fraction), now)
                             capQuotaLevels(0.1, now)
                         }
--- a/daemon/src/main/kotlin/io/primroseflow/daemon/peer/PeerLinks.kt
+++ b/daemon/src/main/kotlin/io/primroseflow/daemon/peer/PeerLinks.kt
@@ -172,21 +172,22 @@
         }
     }
 
-    private suspend fun runSession(to: HostId, socket: StreamSocket, link: PeerLink) = coroutineScope {
-        val output = socket.output
-        val input = socket.input
-        write(output, PeerFrame.Hello(PROTOCOL_VERSION, self, to, hybridClock.next()))
-        val pongs = Channel<Long>(Channel.CONFLATED)
-        val reader = launch {
-            while (true) {
-                val pong = input.readFrame() as? PeerFrame.Pong
-                pong?.let { pongs.send(it.number) }
+    private suspend fun runSession(to: HostId, socket: StreamSocket, link: PeerLink) =
+        coroutineScope {
+            val output = socket.output
+            val input = socket.input
+            write(output, PeerFrame.Hello(PROTOCOL_VERSION, self, to, hybridClock.next()))
+            val pongs = Channel<Long>(Channel.CONFLATED)
+            val reader = launch {
+                while (true) {
+                    val pong = input.readFrame() as? PeerFrame.Pong
+                    pong?.let { pongs.send(it.number) }
+                }
             }
+            writeMessages(output, link, pongs)
+            reader.cancel()
+            coroutineContext.cancelChildren()
         }
-        writeMessages(output, link, pongs)
-        reader.cancel()
-        coroutineContext.cancelChildren()
-    }
 
     /**
      * Writes messages until none has arrived for [IDLE_TIMEOUT].
--- a/daemon/src/main/kotlin/io/primroseflow/daemon/socket/EventLoop.kt
+++ b/daemon/src/main/kotlin/io/primroseflow/daemon/socket/EventLoop.kt
@@ -128,14 +128,15 @@
 }
 
 /** Waits until the operation is complete; closes its channel if the coroutine is cancelled. */
-private suspend fun ChannelFuture.awaitChannel(): Channel = suspendCancellableCoroutine { continuation ->
-    addListener {
-        val cause = cause()
-        when {
-            isSuccess -> continuation.resume(channel())
-            cause is IOException -> continuation.resumeWithException(cause)
-            else -> continuation.resumeWithException(IOException(cause))
+private suspend fun ChannelFuture.awaitChannel(): Channel =
+    suspendCancellableCoroutine { continuation ->
+        addListener {
+            val cause = cause()
+            when {
+                isSuccess -> continuation.resume(channel())
+                cause is IOException -> continuation.resumeWithException(cause)
+                else -> continuation.resumeWithException(IOException(cause))
+            }
         }
+        continuation.invokeOnCancellation { channel().close() }
     }
-    continuation.invokeOnCancellation { channel().close() }
-}
--- a/daemon/src/main/kotlin/io/primroseflow/daemon/socket/StreamSocket.kt
+++ b/daemon/src/main/kotlin/io/primroseflow/daemon/socket/StreamSocket.kt
@@ -194,7 +194,9 @@
             throwIfClosed()
             if (pending.exhausted()) return
             channel.writeAndFlush(Unpooled.wrappedBuffer(pending.readByteArray()))
-                .addListener { future -> future.cause()?.let { fail(it as? IOException ?: IOException(it)) } }
+                .addListener { future ->
+                    future.cause()?.let { fail(it as? IOException ?: IOException(it)) }
+                }
             while (!channel.isWritable && channel.isActive) {
                 suspendCancellableCoroutine { continuation ->
                     writer = continuation
--- a/daemon/src/main/kotlin/io/primroseflow/daemon/target/TargetConnectionPools.kt
+++ b/daemon/src/main/kotlin/io/primroseflow/daemon/target/TargetConnectionPools.kt
@@ -118,10 +118,7 @@
  *
  * The most recently used connection is reused first, so that surplus connections expire.
  */
-internal class TargetConnectionPool(
-    private val loop: EventLoop,
-    private val clock: Clock
-) {
+internal class TargetConnectionPool(private val loop: EventLoop, private val clock: Clock) {
     private val idle = HashMap<String, ArrayDeque<PooledConnection>>()
 
     /** Number of connections opened so far. */
--- a/daemon/src/test/kotlin/io/primroseflow/daemon/EventLineLayoutTest.kt
+++ b/daemon/src/test/kotlin/io/primroseflow/daemon/EventLineLayoutTest.kt
@@ -26,7 +26,10 @@
     DescribeSpec({
         describe("a line of the log") {
             it("is a JSON object with the fields of the event") {
-                val message = StringMapMessage().with("event", "host_silent").with("peer", "10.0.0.1")
+                val message = StringMapMessage().with(
+                    "event",
+                    "host_silent"
+                ).with("peer", "10.0.0.1")
                 val text = line(message)
                 text shouldEndWith "\n"
                 val parsed = Json.parseToJsonElement(text).jsonObject
--- a/daemon/src/test/kotlin/io/primroseflow/daemon/entry/EndlessAnswersTest.kt
+++ b/daemon/src/test/kotlin/io/primroseflow/daemon/entry/EndlessAnswersTest.kt
@@ -74,7 +74,8 @@
             for ((name, answer) in answers) {
                 it("$name is a failure, and the target's connection is closed") {
                     val sent = AtomicLong()
-                    val target = FakeTarget(endless(sent, start = answer.first, part = answer.second))
+                    val target =
+                        FakeTarget(endless(sent, start = answer.first, part = answer.second))
                     withHosts(target) {
                         call("/once/1") shouldStartWith "HTTP/1.1 502"
                         await { target.closed.get() > 0 }
@@ -89,7 +90,9 @@
                 val block = "x".repeat(8_000)
                 val target = FakeTarget { request, output ->
                     if ("/once/" in request.line) {
-                        endless(start = { FULL_HEAD.format(it) + "\r\n" }, part = block)(request, output)
+                        endless(start = {
+                            FULL_HEAD.format(it) + "\r\n"
+                        }, part = block)(request, output)
                     } else {
                         output.answer(request.id)
                         true
@@ -174,7 +177,11 @@
 
         describe("a caller whose request has no end") {
             it("is refused as soon as its header exceeds the limit") {
-                withHosts(FakeTarget { request, output -> output.answer(request.id).let { true } }) {
+                withHosts(
+                    FakeTarget { request, output ->
+                        output.answer(request.id).let { true }
+                    }
+                ) {
                     connect().use { socket ->
                         socket.getOutputStream().write("GET /safe/1 HTTP/1.1\r\n".toByteArray())
                         val line = "X-More: ${"x".repeat(1_000)}\r\n".toByteArray()
--- a/daemon/src/test/kotlin/io/primroseflow/daemon/entry/RoutedHostsTest.kt
+++ b/daemon/src/test/kotlin/io/primroseflow/daemon/entry/RoutedHostsTest.kt
@@ -269,7 +269,9 @@
                     answer shouldEndWith LAST_CHUNK
                     Regex("data: e(\\d)").findAll(answer).map { it.groupValues[1] }
                         .joinToString("") shouldBe "123456"
-                    targets.flatMap { it.received }.map { it.fields["last-event-id"] }.toSet() shouldBe
+                    targets.flatMap {
+                        it.received
+                    }.map { it.fields["last-event-id"] }.toSet() shouldBe
                         setOf(null, "3")
                     targets.sumOf { it.received.size } shouldBe 2
                 }
--- a/daemon/src/test/kotlin/io/primroseflow/daemon/peer/PeerLinksTest.kt
+++ b/daemon/src/test/kotlin/io/primroseflow/daemon/peer/PeerLinksTest.kt
@@ -3,13 +3,12 @@
 import io.kotest.core.spec.style.DescribeSpec
 import io.kotest.matchers.collections.shouldContain
 import io.kotest.matchers.ints.shouldBeGreaterThan
-import io.kotest.matchers.ints.shouldBeGreaterThan
 import io.kotest.matchers.shouldBe
 import io.primroseflow.control.PolicyRevision
 import io.primroseflow.daemon.MonotonicClock
-import io.primroseflow.daemon.socket.EventLoop
 import io.primroseflow.daemon.PeerAddress
 import io.primroseflow.daemon.awaitTrue
+import io.primroseflow.daemon.socket.EventLoop
 import io.primroseflow.model.DataCentreId
 import io.primroseflow.model.HostId
 import io.primroseflow.timeline.HybridClock
