Use more of the quotas' tolerance, now that usage is known over all hosts

Change: 0.75 bursts, or a quarter of the tolerance, are held back; a host on its own keeps to its part of the window as well.

--- a/core/src/main/kotlin/io/primroseflow/fleet/QuotaTolerance.kt
+++ b/core/src/main/kotlin/io/primroseflow/fleet/QuotaTolerance.kt
@@ -5,20 +5,13 @@
 import kotlin.time.Duration.Companion.seconds
 
 /**
- * Bursts that scheduler changes within one window may admit beyond the quota. At each change,
- * hosts that schedule alone start with a tenth of their burst and the next scheduler with a
- * quarter, and both grant slots for a moment. A replayed day reached 0.95 bursts.
+ * Bursts of the tolerance that are held back for a change of the scheduler: what the former one and
+ * hosts that schedule alone grant until the next one knows it.
  */
-private const val TAKEOVER_BURSTS = 1.2
+private const val TAKEOVER_BURSTS = 0.75
 
-/** Largest fraction of the tolerance to use, since grants and arrivals are not simultaneous. */
-private const val USABLE_FRACTION = 0.5
-
-/**
- * Largest fraction of the tolerance to use within a window. The rest covers grants of a former
- * scheduler and of hosts on their own that have not been reported yet.
- */
-private const val WINDOW_FRACTION = 0.5
+/** Smallest fraction of the tolerance that is held back, since grants take time to arrive. */
+private const val MIN_HELD_BACK_FRACTION = 0.25
 
 /**
  * How far the usage over all hosts may exceed a quota within any span of [window].
@@ -35,17 +28,19 @@
     val takeoverBursts: Double = TAKEOVER_BURSTS
 ) {
     /** Returns the refill rate, in units per second, that stays within the tolerance. */
-    internal fun refillRateOf(quota: TeamQuota): Double {
-        val seconds = window / 1.seconds
-        val extra = ratio * (quota.perSecond * seconds + quota.burst) + units
-        val heldBack = maxOf(takeoverBursts * quota.burst, (1 - USABLE_FRACTION) * extra)
-        val usable = (extra - heldBack).coerceAtLeast(0.0)
-        return quota.perSecond + usable / seconds
-    }
+    internal fun refillRateOf(quota: TeamQuota): Double =
+        quota.perSecond + usableUnitsOf(quota) / (window / 1.seconds)
 
-    /** Returns the units that may be used within [window], with a margin for what is in flight. */
+    /** Returns the units that may be used within [window]. */
     internal fun usableLimitOf(quota: TeamQuota): Double =
-        quota.allowedIn(window) * (1 + ratio * WINDOW_FRACTION) + units * WINDOW_FRACTION
+        quota.allowedIn(window) + usableUnitsOf(quota)
+
+    /** Returns the part of the tolerance to use, in units within [window]. */
+    private fun usableUnitsOf(quota: TeamQuota): Double {
+        val extra = ratio * quota.allowedIn(window) + units
+        val heldBack = maxOf(takeoverBursts * quota.burst, MIN_HELD_BACK_FRACTION * extra)
+        return (extra - heldBack).coerceAtLeast(0.0)
+    }
 
     public companion object {
         /** Allows no usage beyond a quota. */
--- a/core/src/main/kotlin/io/primroseflow/fleet/TeamQuotas.kt
+++ b/core/src/main/kotlin/io/primroseflow/fleet/TeamQuotas.kt
@@ -34,7 +34,7 @@
  * hosts on their own have granted, as long as the hosts have reported it by [recallUsage].
  */
 internal class TeamQuotas(private val tolerance: QuotaTolerance) {
-    private class Quota(val limit: TeamQuota, val bucket: TokenBucket)
+    private class Quota(val limit: TeamQuota, val fraction: Double, val bucket: TokenBucket)
 
     private class DetachedHost(val since: Instant, val rates: Map<TeamId, Double>)
 
@@ -67,7 +67,7 @@
             val minRate = limit.perSecond * fraction * MIN_ATTACHED_FRACTION
             val bucket = quotas[team.id]?.bucket ?: TokenBucket(rate, burst, now)
             bucket.reconfigure(maxOf(rate, minRate), burst, now)
-            quotas[team.id] = Quota(limit, bucket)
+            quotas[team.id] = Quota(limit, fraction, bucket)
         }
     }
 
@@ -145,7 +145,8 @@
     fun hasRoom(request: SlotRequest, now: Instant): Boolean {
         val team = request.team ?: return true
         val quota = quotas[team] ?: return true
-        return usedOf(team, now) + request.cost <= tolerance.usableLimitOf(quota.limit)
+        val limit = tolerance.usableLimitOf(quota.limit) * quota.fraction
+        return usedOf(team, now) + request.cost <= limit
     }
 
     /** Records that [request] starts to use its quota. */
--- a/daemon/src/main/kotlin/io/primroseflow/daemon/entry/SlotClient.kt
+++ b/daemon/src/main/kotlin/io/primroseflow/daemon/entry/SlotClient.kt
@@ -9,6 +9,7 @@
 import io.primroseflow.fleet.FleetTarget
 import io.primroseflow.fleet.HeldSlot
 import io.primroseflow.fleet.HostHoldings
+import io.primroseflow.fleet.QuotaTolerance
 import io.primroseflow.fleet.SlotDecision
 import io.primroseflow.fleet.SlotEnd
 import io.primroseflow.fleet.SlotRequest
@@ -170,11 +171,13 @@
         val now = clock.now()
         val scheduler = FleetScheduler(
             share,
+            tolerance = QuotaTolerance(quotaWindow, ratio = 0.0, units = 0.0),
             retryLimits = retryLimits,
             neededSlots = neededSlots()
         )
         policy?.let { scheduler.updatePolicy(it, now) }
         scheduler.updateQuotaFractions(quotaFractions(share, now), now)
+        scheduler.recallUsage(self, usage.recent(now), now)
         scheduler.capQuotaLevels(LOCAL_BURST_FRACTION, now)
         localScheduler = scheduler
         scheduler.updateTargets(targets, now)
