Sum the usage of all hosts as it is recorded

The total of a team was summed over all hosts for each request, which grows with their number. It is now kept beside the histories of the hosts.

--- a/core/src/main/kotlin/io/primroseflow/fleet/TeamQuotas.kt
+++ b/core/src/main/kotlin/io/primroseflow/fleet/TeamQuotas.kt
@@ -39,6 +39,9 @@
     private class DetachedHost(val since: Instant, val rates: Map<TeamId, Double>)
 
     private val quotas = HashMap<TeamId, Quota>()
+
+    /** Usage of all hosts, so that its totals do not take longer with more hosts. */
+    private val usage = UsageHistory<TeamId>(tolerance.window)
     private val usageByHost = HashMap<HostId, UsageHistory<TeamId>>()
     private val detached = HashMap<HostId, DetachedHost>()
     private var settlingUntil: Instant? = null
@@ -103,7 +106,9 @@
      */
     fun recallUsage(host: HostId, recent: Map<TeamId, List<Long>>, now: Instant) {
         val known = usageByHost.getOrPut(host) { UsageHistory(tolerance.window) }
-        for ((team, units) in recent) if (team in quotas) known.recall(team, units, now)
+        for ((team, units) in recent) {
+            if (team in quotas) usage.add(team, known.recall(team, units, now), now)
+        }
     }
 
     /** Reserves what [host], which is one of [hosts], may grant by itself from now on. */
@@ -156,6 +161,7 @@
 
     private fun record(host: HostId, team: TeamId, units: Long, now: Instant) {
         if (team !in quotas) return
+        usage.record(team, units, now)
         usageByHost.getOrPut(host) { UsageHistory(tolerance.window) }.record(team, units, now)
     }
 
@@ -164,7 +170,7 @@
         val unseen = detached.values.sumOf {
             (it.rates[team] ?: 0.0) * (minOf(now - it.since, tolerance.window) / 1.seconds)
         }
-        return usageByHost.values.sumOf { it.total(team, now) } + unseen
+        return usage.total(team, now) + unseen
     }
 
     /**
--- a/core/src/main/kotlin/io/primroseflow/limits/UsageHistory.kt
+++ b/core/src/main/kotlin/io/primroseflow/limits/UsageHistory.kt
@@ -59,19 +59,26 @@
     }
 
     /**
-     * Adds the [units] of [key] that another history returned by [recent] a moment before [now].
-     * What this history already contains is not added again.
+     * Adds the [units] of [key] that another history returned by [recent] a moment before [now],
+     * and returns the units that were added, by interval like [units]. What this history already
+     * contains is not added again.
      */
-    public fun recall(key: K, units: List<Long>, now: Instant) {
+    public fun recall(key: K, units: List<Long>, now: Instant): List<Long> {
         val reported = units.sum()
         val missing = (reported - total(key, now)).coerceAtLeast(0)
-        if (missing == 0L) return
+        if (missing == 0L) return emptyList()
+        val added = units.map { (it * missing + reported - 1) / reported }
+        add(key, added, now)
+        return added
+    }
+
+    /** Adds [units] of [key] by interval, from the one of [now] to earlier ones. */
+    public fun add(key: K, units: List<Long>, now: Instant) {
+        if (units.isEmpty()) return
         val queue = intervals.getOrPut(key) { ArrayDeque() }
         val current = now.toEpochMilliseconds() / intervalMillis
         val sums = queue.associateTo(TreeMap()) { it.number to it.units }
-        units.forEachIndexed { age, used ->
-            sums.merge(current - age, (used * missing + reported - 1) / reported, Long::plus)
-        }
+        units.forEachIndexed { age, used -> sums.merge(current - age, used, Long::plus) }
         queue.clear()
         sums.forEach { (number, used) -> queue.addLast(Interval(number, used)) }
         trim(queue, now)
