--- a/daemon/src/test/kotlin/io/primroseflow/daemon/entry/EndlessAnswersTest.kt
+++ b/daemon/src/test/kotlin/io/primroseflow/daemon/entry/EndlessAnswersTest.kt
@@ -50,14 +50,6 @@
 /** Answers that never end, as targets in trouble send them until the connection is closed. */
 class EndlessAnswersTest :
     DescribeSpec({
-        fun withHosts(vararg targets: FakeTarget, block: RoutedFixture.() -> Unit) {
-            RoutedFixture(*targets).use {
-                it.startControl()
-                it.block()
-            }
-            targets.forEach { it.close() }
-        }
-
         describe("a call answered without end") {
             val line = "X-More: ${"x".repeat(1_000)}\r\n"
             val block = "x".repeat(8_000)
--- a/daemon/src/test/kotlin/io/primroseflow/daemon/entry/FakeTarget.kt
+++ b/daemon/src/test/kotlin/io/primroseflow/daemon/entry/FakeTarget.kt
@@ -1,7 +1,6 @@
 package io.primroseflow.daemon.entry
 
 import java.io.IOException
-import java.io.InputStream
 import java.io.OutputStream
 import java.net.InetAddress
 import java.net.ServerSocket
@@ -11,8 +10,19 @@
 import kotlin.concurrent.thread
 
 /** A request as a target received it; the names of its header [fields] are in lower case. */
-class ReceivedRequest(val line: String, val fields: Map<String, String>, val body: String) {
+class ReceivedRequest(
+    val line: String,
+    val fields: Map<String, String>,
+    val body: String,
+    private val socket: Socket
+) {
     val id: String get() = fields["x-request-id"].orEmpty()
+
+    /** Resets the connection on which the request was received. */
+    fun reset() {
+        socket.setSoLinger(true, 0)
+        socket.close()
+    }
 }
 
 /** Answers a request and returns whether the connection stays open. */
@@ -26,6 +36,9 @@
     /** Requests in the order in which they were received. */
     val received = CopyOnWriteArrayList<ReceivedRequest>()
 
+    /** Whether bodies of requests are read before the answer is sent. */
+    var readsBodies = true
+
     /** Number of connections that the other side has closed. */
     val closed = AtomicInteger()
 
@@ -55,7 +68,7 @@
     private fun serve(socket: Socket): Unit = socket.use {
         try {
             while (true) {
-                val request = read(it.getInputStream()) ?: break
+                val request = read(it) ?: break
                 received += request
                 if (!behaviour(request, it.getOutputStream())) return@use
             }
@@ -66,7 +79,8 @@
         Unit
     }
 
-    private fun read(input: InputStream): ReceivedRequest? {
+    private fun read(socket: Socket): ReceivedRequest? {
+        val input = socket.getInputStream()
         val head = StringBuilder()
         while (!head.endsWith("\r\n\r\n")) {
             val next = input.read()
@@ -77,8 +91,8 @@
         val fields = lines.drop(1).associate {
             it.substringBefore(':').lowercase() to it.substringAfter(':').trim()
         }
-        val length = fields["content-length"]?.toInt() ?: 0
-        return ReceivedRequest(lines.first(), fields, String(input.readNBytes(length)))
+        val length = if (readsBodies) fields["content-length"]?.toInt() ?: 0 else 0
+        return ReceivedRequest(lines.first(), fields, String(input.readNBytes(length)), socket)
     }
 }
 
--- a/daemon/src/test/kotlin/io/primroseflow/daemon/entry/RoutedFixture.kt
+++ b/daemon/src/test/kotlin/io/primroseflow/daemon/entry/RoutedFixture.kt
@@ -248,6 +248,15 @@
     }
 }
 
+/** Runs [block] with a control host and an entry host in front of [targets], then ends them all. */
+fun withHosts(vararg targets: FakeTarget, block: RoutedFixture.() -> Unit) {
+    RoutedFixture(*targets).use {
+        it.startControl()
+        it.block()
+    }
+    targets.forEach { it.close() }
+}
+
 /** Returns the text of a request, which closes its connection unless [extra] says otherwise. */
 fun request(
     path: String,
--- a/daemon/src/test/kotlin/io/primroseflow/daemon/entry/RoutedHostsTest.kt
+++ b/daemon/src/test/kotlin/io/primroseflow/daemon/entry/RoutedHostsTest.kt
@@ -24,14 +24,6 @@
 
 class RoutedHostsTest :
     DescribeSpec({
-        fun withHosts(vararg targets: FakeTarget, block: RoutedFixture.() -> Unit) {
-            RoutedFixture(*targets).use {
-                it.startControl()
-                it.block()
-            }
-            targets.forEach { it.close() }
-        }
-
         describe("the metrics") {
             it("count requests by outcome and contain no request ids or credentials") {
                 withHosts(FakeTarget(serves)) {
--- a/daemon/src/test/kotlin/io/primroseflow/daemon/socket/StreamSocketTest.kt
+++ b/daemon/src/test/kotlin/io/primroseflow/daemon/socket/StreamSocketTest.kt
@@ -9,6 +9,11 @@
 import java.io.IOException
 import java.net.Socket
 import kotlinx.coroutines.CompletableDeferred
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.SupervisorJob
+import kotlinx.coroutines.async
+import kotlinx.coroutines.coroutineScope
+import kotlinx.coroutines.launch
 import kotlinx.coroutines.runBlocking
 import kotlinx.coroutines.withContext
 import kotlinx.coroutines.withTimeout
@@ -16,13 +21,15 @@
 private const val LARGE = 1_000_000
 
 /** Accepts one connection, which [peer] uses from the other side. */
-private class Pair(private val loop: EventLoop) {
+private class Pair(val loop: EventLoop) {
     private val accepted = CompletableDeferred<StreamSocket>()
     private val listening =
         runBlocking { loop.listen("127.0.0.1", 0, 10) { accepted.complete(it) } }
     val peer = Socket("127.0.0.1", listening.port).apply { soTimeout = 10_000 }
     val socket = runBlocking { accepted.await() }
 
+    val loopScope = CoroutineScope(SupervisorJob() + loop.dispatcher)
+
     fun <T> onLoop(block: suspend () -> T): T =
         runBlocking { withTimeout(10_000) { withContext(loop.dispatcher) { block() } } }
 }
@@ -88,5 +95,30 @@
                     socket.input.isClosedForRead shouldBe false
                 }
             }
+
+            // An answer that is being read when the host closes would otherwise look complete.
+            it("fails instead of ending when this side closes it during a read") {
+                withPair {
+                    peer.getOutputStream().write(ByteArray(3))
+                    shouldThrow<IOException> {
+                        onLoop {
+                            socket.input.readByteArray(3)
+                            coroutineScope {
+                                launch { socket.close() }
+                                socket.input.readAvailable(ByteArray(1))
+                            }
+                        }
+                    }
+                }
+            }
+
+            // The same as above for a host that ends without closing its sockets.
+            it("fails instead of ending when its loop ends during a read") {
+                withPair {
+                    val read = loopScope.async { socket.input.readAvailable(ByteArray(1)) }
+                    loop.close()
+                    shouldThrow<IOException> { runBlocking { withTimeout(10_000) { read.await() } } }
+                }
+            }
         }
     })
