Do not pass on an empty stream that ends with its connection

Callers saw: an answer 200 with the target's signature and no event, ended as complete, from a target that had broken down before its first event. Cause: readStream judged a stream without a length by its events only if there was a part of one. With no bytes at all the end of the connection counted as the end of the stream. Same class as the incident: an end that the target did not state is taken for a complete answer. Why it works: a stream has at least one event, and without one neither the header nor the framing says that anything is complete. It counts as lost: a repeatable one is sent elsewhere, others get 502, which promises nothing. Empty streams that say so by their length or a last chunk stay complete.

--- a/daemon/src/main/kotlin/io/primroseflow/daemon/target/TargetExchanges.kt
+++ b/daemon/src/main/kotlin/io/primroseflow/daemon/target/TargetExchanges.kt
@@ -226,9 +226,11 @@
                 splitter.dropComplete()
             }
             if (splitter.hasPartialEvent) {
-                return ExchangeResult.Failed(
-                    "stream ended within an event"
-                )
+                return ExchangeResult.Failed("stream ended within an event")
+            }
+            // Nothing but the end of the connection says that this stream is complete.
+            if (framing == BodyFraming.UntilClose && splitter.eventCount == 0) {
+                return ExchangeResult.Failed("connection ended before the first event")
             }
             if (!hasStarted) listener.onStream(head)
             isReusable = framing != BodyFraming.UntilClose && head.keepsConnection
