Reserve the ports of a test fixture together

Seen once: UnframedAnswersTest 'is complete if the connection is closed after an event' failed with 'Address already in use' when the entry host bound its port for callers, the second of four. The four sockets are now open together.

--- a/daemon/src/test/kotlin/io/primroseflow/daemon/entry/RoutedFixture.kt
+++ b/daemon/src/test/kotlin/io/primroseflow/daemon/entry/RoutedFixture.kt
@@ -129,7 +129,8 @@
     private val controlScope = CoroutineScope(SupervisorJob() + worker)
     private val clock = MonotonicClock()
     private val log = EventLog("test", "test")
-    private val peerPort = freePort()
+    private val ports = freePorts(4).iterator()
+    private val peerPort = ports.next()
     private val tolerance = QuotaTolerance.NONE
     private val directory = TargetDirectory {
         Ok(
@@ -167,15 +168,15 @@
     private val settings = EntryHostSettings(
         address = ENTRY_ADDRESS,
         dataCentre = DataCentreId("d"),
-        callerPort = freePort(),
-        readyPort = freePort(),
+        callerPort = ports.next(),
+        readyPort = ports.next(),
         peerPort = peerPort,
         seeds = { setOf(CONTROL_ADDRESS) },
         leaseDuration = lease,
         grace = 6.seconds,
         retryLimits = RetryLimits(allowance = 100),
         quotaWindow = tolerance.window,
-        metricsPort = freePort()
+        metricsPort = ports.next()
     )
     private val entry = EntryHost(
         settings,
@@ -279,4 +280,8 @@
     throw AssertionError("the condition did not hold within 10 seconds")
 }
 
-private fun freePort(): Int = ServerSocket(0).use { it.localPort }
+/** Returns [count] different ports; they are reserved together, since a freed one may come again. */
+private fun freePorts(count: Int): List<Int> {
+    val sockets = List(count) { ServerSocket(0) }
+    return sockets.map { it.localPort }.also { sockets.forEach(ServerSocket::close) }
+}
