Let reads fail when this host itself closes a connection

Cause: StreamSocket had one state for 'the peer ended its output', 'this side closed' and 'the event loop ended', so a reader got an orderly end for all of them. Why it works: the input ends only by the peer's own end, which the transport reports as an event of its own; everything else is a failure of the read. Connections that a stopping host closes are not logged as failed.

--- a/daemon/src/main/kotlin/io/primroseflow/daemon/http/HttpListener.kt
+++ b/daemon/src/main/kotlin/io/primroseflow/daemon/http/HttpListener.kt
@@ -79,6 +79,7 @@
 
     /** Stops accepting and closes all connections, even those with a request in progress. */
     fun closeAll() {
+        isClosing = true
         stopAccepting()
         connections.toList().forEach { it.close() }
     }
@@ -105,7 +106,7 @@
                 }
             }
         } catch (e: IOException) {
-            log.info("connection_failed", "cause" to e)
+            if (!isClosing) log.info("connection_failed", "cause" to e)
         } finally {
             connection.close()
         }
--- a/daemon/src/main/kotlin/io/primroseflow/daemon/socket/StreamSocket.kt
+++ b/daemon/src/main/kotlin/io/primroseflow/daemon/socket/StreamSocket.kt
@@ -28,12 +28,18 @@
 /** Time for the peer to read what was written before [StreamSocket.close]. */
 private val CLOSE_TIMEOUT: Duration = 5.seconds
 
+/** Thrown to a reader whose connection ends without the peer having ended its output. */
+private class ConnectionClosedException : IOException("the connection was closed before its end")
+
 /** Thrown if the peer sends more bytes than [StreamSocket.limitInput] allows. */
 internal class InputLimitException : IOException("more bytes than allowed")
 
 /**
  * A TCP connection of an [EventLoop].
  *
+ * Its [input] ends if the peer has ended its output, and fails in all other cases, also if this
+ * side closes the connection: what was read until then may be incomplete.
+ *
  * At most one coroutine may wait for input, and one for output, at the same time.
  */
 @OptIn(InternalAPI::class)
@@ -71,7 +77,7 @@
     override fun close() {
         if (isClosing) return
         isClosing = true
-        endInput()
+        failInput()
         if (!channel.isActive) {
             channel.close()
             return
@@ -120,7 +126,7 @@
     }
 
     override fun channelInactive(context: ChannelHandlerContext) {
-        endInput()
+        failInput()
         wakeWriter()
     }
 
@@ -135,6 +141,12 @@
         wakeReader()
     }
 
+    /** Lets reads fail after the received bytes, unless the peer has ended its output before. */
+    private fun failInput() {
+        if (!isInputEnded && failure == null) failure = ConnectionClosedException()
+        endInput()
+    }
+
     private fun wakeReader() {
         reader?.let {
             reader = null
