Send nothing to targets that say they leave or ask for rest

A target states in any answer that it is leaving, and with a 503 for how long it wants nothing from the host that it answers. Neither was read before.

Change - The platform's dialect decodes both once, into a TargetNotice; malformed values state nothing. - TargetConditionTable keeps the condition of each target (in service, leaving, resting until) by its identity; lists of targets do not end it. A rest counts for 60 s at most, a notice of leaving for five minutes after the last one. - TargetExchanger reads the notice of every head, skipped ones too, and asks before it opens a connection and again before it writes. A grant that is not used costs no attempt, no retry and no quota; the request asks for another slot. - The host tells its scheduler at once, by a report, and all reports carry the conditions, so that a new scheduler knows them from the first one. A host on its own tells its local scheduler. - The scheduler grants no slot of a resting target to that host, and none of a leaving one to any. Requests whose targets all rest wait if a rest ends in time, else they are refused at once with the time of the first end. After a rest the work of its hosts returns one request in 25 ms a target for half a second.

Tests: TargetNoticesTest (13 cases, real sockets): all 13 fail with the notices ignored and pass now. TargetConditionTableTest, TargetConditionSchedulingTest, PlatformDialectTest. All tests of core, daemon and platform passed before two of the cases were made stricter; those were run alone.

--- a/core/src/main/kotlin/io/primroseflow/explain/LogAnalysis.kt
+++ b/core/src/main/kotlin/io/primroseflow/explain/LogAnalysis.kt
@@ -32,6 +32,7 @@
     "host_stopping",
     "host_started",
     "targets_changed",
+    "target_condition",
     "directory_lost",
     "policy_in_force",
     "replica_renamed",
--- a/core/src/main/kotlin/io/primroseflow/fleet/FleetScheduler.kt
+++ b/core/src/main/kotlin/io/primroseflow/fleet/FleetScheduler.kt
@@ -87,6 +87,7 @@
     }
 
     private val services = HashMap<ServiceId, ServiceState>()
+    private val conditions = ReportedConditions()
     private val running = HashMap<SlotTicket, RunningRequest>()
     private val runningByHost = HashMap<HostId, HashMap<SlotTicket, RunningRequest>>()
     private val quotas = TeamQuotas(tolerance)
@@ -113,6 +114,18 @@
         return services.values.flatMap { grantAll(it, now) }
     }
 
+    /**
+     * Replaces the conditions of targets that [host] reports. Targets that any host reports as
+     * leaving get no further requests; those that rest get none of this host.
+     */
+    public fun updateConditions(
+        host: HostId,
+        reported: Map<TargetId, TargetCondition>,
+        now: Instant
+    ) {
+        if (conditions.replace(host, reported, now)) applyTargets()
+    }
+
     /**
      * Sets the fractions of the quotas that this scheduler grants; teams without one have the equal
      * share of the hosts.
@@ -308,10 +321,12 @@
         return slot
     }
 
-    private fun stateOf(id: ServiceId) = services.getOrPut(id) { ServiceState() }
+    private fun stateOf(id: ServiceId) = services.getOrPut(id) { ServiceState(conditions) }
 
     private fun applyTargets() {
-        val byService = listedTargets.groupBy { it.service }
+        val byService = listedTargets
+            .map { if (conditions.isLeaving(it.id)) it.copy(isLeaving = true) else it }
+            .groupBy { it.service }
         for (id in services.keys + byService.keys) {
             val state = stateOf(id)
             state.targets.kvCapacity = routedServices[id]?.kvTokens
@@ -353,6 +368,7 @@
             quotas.recordUse(estimated.request, now)
             val isFirst = !estimated.request.isRetry
             if (isFirst) budgetOf(estimated.request.service)?.recordFirstAttempt(now)
+            target.recordReturn(estimated.request, now)
             target.beginPrefill(estimated, now)
             target.start(estimated)
             addRunning(ticket, RunningRequest(estimated, target.target.id, now))
@@ -408,7 +424,9 @@
         for (estimated in service.queue.inOrder(now).toList()) {
             val request = estimated.request
             val position = positions.merge(request.rank, 1, Int::plus) ?: 1
-            val wait = service.waitAtPosition(request.rank, position, now)
+            val rest = service.targets.restWait(request, now)
+            if (rest > Duration.ZERO) service.onRest(request.rank, now)
+            val wait = maxOf(service.waitAtPosition(request.rank, position, now), rest)
             if (estimated.isInTimeAfter(wait, now)) continue
             positions[request.rank] = position - 1
             service.queue.remove(request.ticket)
--- a/core/src/main/kotlin/io/primroseflow/fleet/ServiceState.kt
+++ b/core/src/main/kotlin/io/primroseflow/fleet/ServiceState.kt
@@ -21,9 +21,13 @@
 /** Minimum number of waiting requests of a rank for its grant rate to determine the wait. */
 private const val MIN_QUEUE_FOR_RATE = 4
 
-/** The scheduler's state of one service: its targets, its queue and its load statistics. */
-internal class ServiceState {
-    val targets = ServiceTargets()
+/**
+ * The scheduler's state of one service: its targets, its queue and its load statistics.
+ *
+ * @param conditions what hosts report about targets
+ */
+internal class ServiceState(conditions: ReportedConditions) {
+    val targets = ServiceTargets(conditions)
     val queue = SlotRequestQueue()
 
     /** Moving average of the ratio of actual to nominal time that requests hold a slot. */
@@ -57,6 +61,11 @@
         overallGrantRate.onGrant(now)
     }
 
+    /** Records that targets that rest hold up the requests of [rank]. */
+    fun onRest(rank: Int, now: Instant) {
+        grantRates[rank]?.restartIfIdle(now)
+    }
+
     /** Records that a request of [rank] was refused for lack of slots. */
     fun onShed(rank: Int, now: Instant) {
         lastShedAt[rank] = now
@@ -90,14 +99,15 @@
     /**
      * Returns the expected wait of a new [request] for a slot: the time to work off the queue ahead
      * of it, but no less than its rank's current grant rate implies, since requests of higher
-     * ranks continue to arrive.
+     * ranks continue to arrive, and no less than the rest of all targets that could serve it.
      */
     fun expectedWait(request: SlotRequest, now: Instant): Duration {
         val slots = targets.usableSlots(now).coerceAtLeast(1)
         val queueDrainTime = (queue.queuedMillisAtOrAbove(request.rank) / slots).milliseconds
         val waiting = queue.countOf(request.rank)
-        if (waiting < MIN_QUEUE_FOR_RATE) return queueDrainTime
-        return maxOf(queueDrainTime, grantRateOf(request.rank, now).expectedTime(waiting, now))
+        val leastWait = maxOf(queueDrainTime, targets.restWait(request, now))
+        if (waiting < MIN_QUEUE_FOR_RATE) return leastWait
+        return maxOf(leastWait, grantRateOf(request.rank, now).expectedTime(waiting, now))
     }
 
     /** Updates the averages with an answer of [target], or of a target no longer known. */
--- a/core/src/main/kotlin/io/primroseflow/fleet/ServiceTargets.kt
+++ b/core/src/main/kotlin/io/primroseflow/fleet/ServiceTargets.kt
@@ -1,13 +1,18 @@
 package io.primroseflow.fleet
 
 import io.primroseflow.model.TargetId
+import kotlin.time.Duration
 import kotlin.time.Instant
 
 /** Largest fraction of a service's targets that may be paused at the same time. */
 private const val MAX_PAUSED_FRACTION = 0.5
 
-/** The targets of one service. */
-internal class ServiceTargets {
+/**
+ * The targets of one service.
+ *
+ * @param conditions what hosts report about targets
+ */
+internal class ServiceTargets(private val conditions: ReportedConditions) {
     private val states = LinkedHashMap<TargetId, TargetState>()
 
     /** KV cache of each target in tokens, or `null` for a plain service. */
@@ -27,7 +32,7 @@
         val listed = targets.associateBy { it.id }
         val added = targets.map { it.id }.filter { it !in states }
         for (target in targets) {
-            val state = states.getOrPut(target.id) { TargetState(target, slots[target.id] ?: 0) }
+            val state = states.getOrPut(target.id) { newState(target, slots) }
             // A target that restarts at another address has an empty cache.
             if (state.target.address != target.address) state.clearCachedParts()
             state.target = target
@@ -40,6 +45,9 @@
         return added.map(states::getValue)
     }
 
+    private fun newState(target: FleetTarget, slots: Map<TargetId, Int>) =
+        TargetState(target, slots[target.id] ?: 0, conditions)
+
     /** Returns the target that is expected to finish [estimated] first, or `null` if none fits. */
     fun chooseOrNull(estimated: EstimatedRequest, now: Instant): TargetState? {
         var best: TargetState? = null
@@ -73,6 +81,20 @@
         if (paused + 1 <= staying.size * MAX_PAUSED_FRACTION) state.pause(now)
     }
 
+    /**
+     * Returns the time until the first rest ends if all targets that could serve [request] rest,
+     * otherwise zero.
+     */
+    fun restWait(request: SlotRequest, now: Instant): Duration {
+        if (!conditions.hasRests(request.ticket.host)) return Duration.ZERO
+        if (hasEligibleTarget(request, now)) return Duration.ZERO
+        return states.values
+            .filter { !it.target.isLeaving && it.target.id !in request.excluded }
+            .map { it.restWait(request, now) }
+            .filter { it > Duration.ZERO }
+            .minOrNull() ?: Duration.ZERO
+    }
+
     /** Returns the total number of slots at usable targets, free or not. */
     fun usableSlots(now: Instant): Int =
         states.values.sumOf { if (it.isUsable(now)) it.slotLimit else 0 }
--- a/core/src/main/kotlin/io/primroseflow/fleet/TargetState.kt
+++ b/core/src/main/kotlin/io/primroseflow/fleet/TargetState.kt
@@ -49,6 +49,9 @@
 /** Slowdown of a target whose slots are all taken, as a fraction of its time when idle. */
 private const val FULL_LOAD_SLOWDOWN = 0.3
 
+/** Shortest time between two requests of hosts that return to a target after its rest. */
+internal val RETURN_INTERVAL: Duration = 25.milliseconds
+
 /** Additional round-trip time to a target in another data centre, in milliseconds. */
 private const val REMOTE_ROUND_TRIP_MILLIS = 2.0
 
@@ -59,8 +62,13 @@
  * single probe, and returns to normal use when a request succeeds.
  *
  * @property slotLimit number of slots that this scheduler may use at the target
+ * @param conditions what hosts report about the target
  */
-internal class TargetState(target: FleetTarget, var slotLimit: Int) {
+internal class TargetState(
+    target: FleetTarget,
+    var slotLimit: Int,
+    private val conditions: ReportedConditions
+) {
     var target: FleetTarget = target
 
     /** Number of slots in use. */
@@ -88,6 +96,9 @@
     private var prefillDoneAt = Instant.DISTANT_PAST
     private var pausedUntil = Instant.DISTANT_PAST
 
+    /** Time of the last grant to a host that returns after a rest. */
+    private var lastReturnAt = Instant.DISTANT_PAST
+
     /** Whether the target gets one request at a time until one succeeds. */
     private var isProbing = false
 
@@ -109,6 +120,7 @@
         val request = estimated.request
         if (!isEligible(request, now) || inFlight >= slotLimit) return false
         if (isProbing && inFlight > 0) return false
+        if (isReturning(request, now) && now - lastReturnAt < RETURN_INTERVAL) return false
         return kvCapacity == null || inFlight == 0 ||
             tokensInFlight + estimated.kvTokens <= kvCapacity
     }
@@ -117,7 +129,24 @@
     fun isEligible(request: SlotRequest, now: Instant): Boolean {
         val unreachable = unreachableFrom[request.dataCentre]
         val isReachable = unreachable == null || now >= unreachable.until
-        return isReachable && isUsable(now) && target.id !in request.excluded
+        return isReachable && isUsable(now) && target.id !in request.excluded &&
+            restWait(request, now) == Duration.ZERO
+    }
+
+    /** Returns the time until the target takes requests of the host of [request] again. */
+    fun restWait(request: SlotRequest, now: Instant): Duration {
+        val end = conditions.restEndOrNull(request.ticket.host, target.id) ?: return Duration.ZERO
+        return maxOf(end - now, Duration.ZERO)
+    }
+
+    private fun isReturning(request: SlotRequest, now: Instant): Boolean {
+        val end = conditions.restEndOrNull(request.ticket.host, target.id) ?: return false
+        return now < end + RETURN_PERIOD
+    }
+
+    /** Records that [request] was granted a slot, which counts if its host returns after a rest. */
+    fun recordReturn(request: SlotRequest, now: Instant) {
+        if (isReturning(request, now)) lastReturnAt = now
     }
 
     /** Returns `true` if the target is neither leaving nor paused after failures. */
--- a/daemon/src/main/kotlin/io/primroseflow/daemon/entry/EntryHost.kt
+++ b/daemon/src/main/kotlin/io/primroseflow/daemon/entry/EntryHost.kt
@@ -96,7 +96,18 @@
 ) {
     private val self = HostId(settings.address)
     private val lease = PolicyLease(settings.leaseDuration, clock, wallClock)
-    private val slots = SlotClient(self, settings.quotaWindow, settings.retryLimits, clock, log)
+    private val metrics = EntryMetrics()
+    private val conditions = HostTargetConditions(clock, log, metrics) {
+        slots.onConditionsChanged()
+    }
+    private val slots: SlotClient = SlotClient(
+        self,
+        settings.quotaWindow,
+        settings.retryLimits,
+        clock,
+        log,
+        conditions = { conditions.current }
+    )
     private val policy = RoutedPolicyInForce(decoder, log, ::onPolicy)
     private val pool = TargetConnectionPool(loop, clock)
     private val links = PeerLinks(
@@ -124,7 +135,8 @@
         dataCentre = settings.dataCentre,
         dialect = dialect,
         slots = slots,
-        exchanger = TargetExchanger(pool, dialect)
+        exchanger = TargetExchanger(pool, dialect, conditions),
+        conditions = conditions
     )
     private val callers = HttpListener(
         loop = loop,
@@ -145,7 +157,6 @@
 
     /** Tasks that run only while this host is detached, so that an attached host rests. */
     private var detachedTasks: List<Job> = emptyList()
-    private val metrics = EntryMetrics()
     private val admissionController = AdmissionController(policy, lease) { at ->
         stoppingSince?.let { at - it > STOP_ACCEPT_PERIOD } == true
     }
@@ -166,6 +177,7 @@
             "holding_slots" to { slots.heldCount },
             "caller_connections" to { callers.connectionCount },
             "targets" to { slots.targets.size },
+            "targets_unavailable" to { conditions.current.size },
             "ready" to { if (isReady) 1 else 0 },
             "shared_scheduler" to { if (link.isAttached) 1 else 0 },
             "policy_revision" to { policy.revision.number }
--- a/daemon/src/main/kotlin/io/primroseflow/daemon/entry/EntryMetrics.kt
+++ b/daemon/src/main/kotlin/io/primroseflow/daemon/entry/EntryMetrics.kt
@@ -1,6 +1,7 @@
 package io.primroseflow.daemon.entry
 
 import io.primroseflow.daemon.operator.MetricPage
+import io.primroseflow.fleet.TargetCondition
 import io.primroseflow.routing.ServiceRoute
 import kotlin.time.Duration
 import kotlin.time.DurationUnit
@@ -32,6 +33,11 @@
         "Dispatches to targets, retries included, by kind of request",
         "kind"
     )
+    private val conditions = page.counter(
+        "target_conditions_total",
+        "Changes of the condition of a target that its answers stated, by the new condition",
+        "condition"
+    )
     private val phases = page.histogram(
         "phase_seconds",
         "Time of admitted requests: waiting for slots, from arrival to the first event, in total",
@@ -54,6 +60,11 @@
         refusals.labelValues(refusal.code).inc()
     }
 
+    /** Counts a target whose answer stated that it is in [condition] now. */
+    fun countCondition(condition: TargetCondition) {
+        conditions.labelValues(nameOf(condition)).inc()
+    }
+
     /** Records the outcome, the number of dispatches and the times of an admitted request. */
     fun recordEnd(request: RoutedRequest, relay: RequestRelay, outcome: String, now: Instant) {
         val kind = kindOf(request.route)
--- a/daemon/src/main/kotlin/io/primroseflow/daemon/entry/RequestRelay.kt
+++ b/daemon/src/main/kotlin/io/primroseflow/daemon/entry/RequestRelay.kt
@@ -9,6 +9,7 @@
 import io.primroseflow.daemon.target.Dispatch
 import io.primroseflow.daemon.target.ExchangeListener
 import io.primroseflow.daemon.target.ExchangeResult
+import io.primroseflow.daemon.target.TargetConditionMonitor
 import io.primroseflow.daemon.target.TargetExchanger
 import io.primroseflow.fleet.FleetTarget
 import io.primroseflow.fleet.SlotDecision
@@ -64,7 +65,8 @@
     val dataCentre: DataCentreId,
     val dialect: Dialect,
     val slots: SlotClient,
-    val exchanger: TargetExchanger
+    val exchanger: TargetExchanger,
+    val conditions: TargetConditionMonitor
 )
 
 /**
@@ -116,6 +118,12 @@
     private var hasStream = false
     private var dispatches = 0
     private var attempts = 0
+
+    /** Whether the cost of the request was charged to its team's quota. */
+    private var isCharged = false
+
+    /** Target of the last grant that was not used, as the target takes no requests. */
+    private var withheldFrom: TargetId? = null
     private var lastFailure: ExchangeResult.Buffered? = null
 
     /** Whether a dispatch has arrived at a target, so that the next one counts as a retry. */
@@ -158,7 +166,9 @@
                 is SlotDecision.Refuse -> return resultOfRefusal(decision)
 
                 is SlotDecision.Grant -> {
+                    isCharged = true
                     val result = dispatch(slotRequest, decision.target)
+                    if (result == ExchangeResult.Withheld) onWithheld(decision.target.id)
                     resultOrNull(result)?.let { return it }
                 }
             }
@@ -177,7 +187,7 @@
             dataCentre = context.dataCentre,
             rank = rankOf(route, request.team),
             tier = route.priority,
-            cost = if (dispatches == 0) request.cost else 0,
+            cost = if (isCharged) 0 else request.cost,
             isStream = route.isStream,
             promptTokens = traits.promptTokens ?: 0,
             outputHint = traits.outputHint,
@@ -216,7 +226,18 @@
             val result = context.exchanger.run(dispatchTo(target), listener)
             end = slotEnd(result, start, listener)
             // A dispatch that was not run resets mayHaveRun to what the earlier attempts left.
-            if (result is ExchangeResult.NotRun) mayHaveRun = attempts > 0 else attempts++
+            when (result) {
+                is ExchangeResult.NotRun -> mayHaveRun = attempts > 0
+
+                ExchangeResult.Withheld -> {
+                    dispatches--
+                    targets.removeLast()
+                }
+
+                is ExchangeResult.Buffered,
+                is ExchangeResult.Streamed,
+                is ExchangeResult.Failed -> attempts++
+            }
             return result
         } finally {
             isUncancellable = false
@@ -224,6 +245,15 @@
         }
     }
 
+    /**
+     * Excludes [target] if its grants are withheld repeatedly, as the scheduler then does not know
+     * that the target takes no requests.
+     */
+    private fun onWithheld(target: TargetId) {
+        if (withheldFrom == target) excluded += target
+        withheldFrom = target
+    }
+
     private fun dispatchTo(target: FleetTarget): Dispatch {
         val head = request.incoming.head
         val timeLeft = (request.deadline - clock.now()).coerceAtLeast(1.milliseconds)
@@ -232,6 +262,7 @@
         // Without another target to retry at, a slow answer is no reason to give up early.
         val canRetryElsewhere = isRepeatable && attempts + 1 < route.maxAttempts
         return Dispatch(
+            target = target.id,
             id = request.traits.id,
             method = head.method,
             path = head.target,
@@ -253,6 +284,8 @@
 
     private fun slotEnd(result: ExchangeResult, start: Instant, listener: Listener): SlotEnd =
         when (result) {
+            ExchangeResult.Withheld -> SlotEnd.NotRun(isUnreachable = false)
+
             is ExchangeResult.NotRun -> SlotEnd.NotRun(result.isUnreachable)
 
             is ExchangeResult.Failed -> SlotEnd.Lost
@@ -279,6 +312,8 @@
 
     /** Returns the result of the relay after [result], or `null` if the request is retried. */
     private suspend fun resultOrNull(result: ExchangeResult): RelayResult? = when (result) {
+        ExchangeResult.Withheld -> null
+
         is ExchangeResult.Streamed -> {
             writeToCaller { connection.finishChunked() }
             RelayResult.Answered(OK)
@@ -336,8 +371,12 @@
         return RelayResult.Refused(refusal)
     }
 
+    /**
+     * Excludes the last target from further dispatches, unless it is not available at present
+     * anyway; it may be used again after its rest.
+     */
     private fun excludeLastTarget() {
-        targets.lastOrNull()?.let { excluded += it }
+        targets.lastOrNull()?.takeIf { context.conditions.isAvailable(it) }?.let { excluded += it }
     }
 
     private fun canRetry(): Boolean {
--- a/daemon/src/main/kotlin/io/primroseflow/daemon/entry/SchedulerLink.kt
+++ b/daemon/src/main/kotlin/io/primroseflow/daemon/entry/SchedulerLink.kt
@@ -5,6 +5,7 @@
 import io.primroseflow.daemon.peer.HeldSlotRecord
 import io.primroseflow.daemon.peer.PeerMessage
 import io.primroseflow.daemon.peer.SlotRequestRecord
+import io.primroseflow.daemon.peer.TargetConditionRecord
 import io.primroseflow.daemon.peer.machine
 import io.primroseflow.fleet.FleetShare
 import io.primroseflow.model.DataCentreId
@@ -36,13 +37,15 @@
  * @property knownWaiting tickets of the other waiting requests
  * @property used units of each quota that the host has used within the window of the quotas, by
  *   interval from the latest to the earliest
+ * @property conditions conditions of the targets that are not in service for the host
  */
 internal class ReportedRequests(
     val held: List<HeldSlotRecord>,
     val waiting: List<SlotRequestRecord>,
     val knownHeld: List<Long> = emptyList(),
     val knownWaiting: List<Long> = emptyList(),
-    val used: Map<TeamId, List<Long>> = emptyMap()
+    val used: Map<TeamId, List<Long>> = emptyMap(),
+    val conditions: List<TargetConditionRecord> = emptyList()
 ) {
     /** Whether there is no request to report. */
     val isEmpty: Boolean
@@ -119,8 +122,8 @@
         report()
     }
 
-    /** Sends the next report at once, since the scheduler lacks some requests of this host. */
-    fun reportMissing() = report()
+    /** Sends the next report at once, since the scheduler lacks what this host knows. */
+    fun reportChange() = report(isUrgent = true)
 
     /** Handles an answer to a report; ignores it if its term or report is outdated. */
     fun onReply(from: HostId, reply: PeerMessage.ReportReply) {
@@ -151,12 +154,13 @@
     }
 
     /** Sends a report to the scheduler or, while detached, to all known control hosts. */
-    private fun report() {
+    private fun report(isUrgent: Boolean = false) {
         val receivers = leader?.let { listOf(it) } ?: candidates()
         if (receivers.isEmpty()) return
         val requests = listener.requests(term)
         val now = clock.now()
-        if (isAttached && requests.isEmpty && now - lastReportAt < IDLE_REPORT_INTERVAL) return
+        val isIdle = isAttached && requests.isEmpty && !isUrgent
+        if (isIdle && now - lastReportAt < IDLE_REPORT_INTERVAL) return
         lastReportAt = now
         val number = ++lastReportNumber
         pendingReports.addLast(PendingReport(number, lease.now()))
@@ -172,7 +176,8 @@
             waiting = requests.waiting,
             knownHeld = requests.knownHeld,
             knownWaiting = requests.knownWaiting,
-            used = requests.used
+            used = requests.used,
+            conditions = requests.conditions
         )
         receivers.forEach { send(it, report) }
     }
--- a/daemon/src/main/kotlin/io/primroseflow/daemon/entry/SlotClient.kt
+++ b/daemon/src/main/kotlin/io/primroseflow/daemon/entry/SlotClient.kt
@@ -4,6 +4,7 @@
 import io.primroseflow.daemon.peer.HeldSlotRecord
 import io.primroseflow.daemon.peer.PeerMessage
 import io.primroseflow.daemon.peer.toRecord
+import io.primroseflow.daemon.peer.toRecords
 import io.primroseflow.fleet.FleetScheduler
 import io.primroseflow.fleet.FleetShare
 import io.primroseflow.fleet.FleetTarget
@@ -14,10 +15,12 @@
 import io.primroseflow.fleet.SlotEnd
 import io.primroseflow.fleet.SlotRequest
 import io.primroseflow.fleet.SlotTicket
+import io.primroseflow.fleet.TargetCondition
 import io.primroseflow.fleet.standaloneFraction
 import io.primroseflow.limits.RetryLimits
 import io.primroseflow.limits.UsageHistory
 import io.primroseflow.model.HostId
+import io.primroseflow.model.TargetId
 import io.primroseflow.model.TeamId
 import io.primroseflow.routing.RoutedPolicy
 import io.primroseflow.routing.ServiceId
@@ -40,13 +43,15 @@
  *
  * @param quotaWindow length of the sliding window in which quotas limit the usage
  * @param retryLimits limits of the retries to each service over all hosts
+ * @param conditions returns the conditions of the targets that are not in service
  */
 internal class SlotClient(
     private val self: HostId,
     private val quotaWindow: Duration,
     private val retryLimits: RetryLimits,
     private val clock: Clock,
-    private val log: EventLog
+    private val log: EventLog,
+    private val conditions: () -> Map<TargetId, TargetCondition>
 ) {
     /** A request; the scheduler of [knownTerm] knows it, none if that is 0. */
     private class WaitingRequest(
@@ -135,6 +140,16 @@
         localScheduler?.let { deliver(it.updateTargets(targets, clock.now())) }
     }
 
+    /** Passes the conditions of targets, which have changed, on to the scheduler at once. */
+    fun onConditionsChanged() {
+        val scheduler = localScheduler
+        if (scheduler == null) {
+            link.reportChange()
+        } else {
+            scheduler.updateConditions(self, conditions(), clock.now())
+        }
+    }
+
     /** Handles a grant from the shared scheduler. */
     fun onGranted(message: PeerMessage.SlotGranted) {
         if (message.term != link.term) return
@@ -180,6 +195,7 @@
         scheduler.recallUsage(self, usage.recent(now), now)
         scheduler.capQuotaLevels(LOCAL_BURST_FRACTION, now)
         localScheduler = scheduler
+        scheduler.updateConditions(self, conditions(), now)
         scheduler.updateTargets(targets, now)
         val slots = held.values.map { HeldSlot(it.request, it.target.id) }
         val holdings = HostHoldings(slots, waiting.values.map { it.request })
@@ -214,7 +230,8 @@
             waiting = newWaiting.map { it.request.toRecord(now) },
             knownHeld = knownHeld.map { it.request.ticket.number },
             knownWaiting = knownWaiting.map { it.request.ticket.number },
-            used = if (isNew) usage.recent(now) else emptyMap()
+            used = if (isNew) usage.recent(now) else emptyMap(),
+            conditions = conditions().toRecords(now)
         )
     }
 
@@ -225,7 +242,7 @@
             held[number]?.knownTerm = 0
             waiting[number]?.knownTerm = 0
         }
-        link.reportMissing()
+        link.reportChange()
     }
 
     /** Returns the number of slots of each service that the requests of this host need. */
--- a/daemon/src/main/kotlin/io/primroseflow/daemon/fleet/Dialect.kt
+++ b/daemon/src/main/kotlin/io/primroseflow/daemon/fleet/Dialect.kt
@@ -3,6 +3,7 @@
 import io.primroseflow.daemon.http.HttpField
 import io.primroseflow.daemon.http.HttpFields
 import io.primroseflow.fleet.PromptPart
+import io.primroseflow.fleet.TargetNotice
 import io.primroseflow.model.TargetId
 import io.primroseflow.model.TeamId
 import kotlin.time.Duration
@@ -36,12 +37,14 @@
  * @property isSigned whether the answer has the target's signature, as all successful answers do
  * @property isNotRun whether the target states that it did not run the request
  * @property idleLimit idle time after which the target closes the connection, `null` if not stated
+ * @property notice what the target states about itself
  */
 public data class AnswerTraits(
     val id: String?,
     val isSigned: Boolean,
     val isNotRun: Boolean,
-    val idleLimit: Duration?
+    val idleLimit: Duration?,
+    val notice: TargetNotice = TargetNotice.NONE
 )
 
 /**
--- a/daemon/src/main/kotlin/io/primroseflow/daemon/fleet/SharedScheduler.kt
+++ b/daemon/src/main/kotlin/io/primroseflow/daemon/fleet/SharedScheduler.kt
@@ -4,6 +4,7 @@
 import io.primroseflow.control.PolicyRevision
 import io.primroseflow.daemon.EventLog
 import io.primroseflow.daemon.peer.PeerMessage
+import io.primroseflow.daemon.peer.toCondition
 import io.primroseflow.daemon.peer.toHeldSlot
 import io.primroseflow.daemon.peer.toSlotRequest
 import io.primroseflow.fleet.FleetScheduler
@@ -215,6 +216,7 @@
         for (host in silent) {
             hosts.remove(host)
             active.attachHost(host, now)
+            active.updateConditions(host, emptyMap(), now)
         }
         if (silent.isNotEmpty()) shares = null
     }
@@ -238,6 +240,8 @@
         if (hasTargetList && report.fleet != targetList.version) {
             group.send(from, PeerMessage.FleetNews(targetList.version, targetList.targets))
         }
+        val conditions = report.conditions.associate { it.target to it.toCondition(now) }
+        active.updateConditions(from, conditions, now)
         val holdings = HostHoldings(
             held = report.held.map { it.toHeldSlot(from, now) },
             waiting = report.waiting.map { it.toSlotRequest(from, now) },
--- a/daemon/src/main/kotlin/io/primroseflow/daemon/peer/PeerMessages.kt
+++ b/daemon/src/main/kotlin/io/primroseflow/daemon/peer/PeerMessages.kt
@@ -225,6 +225,7 @@
      * @property knownWaiting tickets of the other waiting requests
      * @property used units of each quota that the host has used within the window of the quotas, by
      *   interval from the latest to the earliest; empty if the receiver of the report has granted all of them
+     * @property conditions conditions of the targets that are not in service for the host
      */
     @Serializable
     @SerialName("rpt")
@@ -238,7 +239,8 @@
         @SerialName("w") val waiting: List<SlotRequestRecord>,
         @SerialName("i") val knownHeld: List<Long>,
         @SerialName("j") val knownWaiting: List<Long>,
-        @SerialName("u") val used: Map<TeamId, List<Long>>
+        @SerialName("u") val used: Map<TeamId, List<Long>>,
+        @SerialName("e") val conditions: List<TargetConditionRecord> = emptyList()
     ) : Scheduling
 
     /**
--- a/daemon/src/main/kotlin/io/primroseflow/daemon/peer/SchedulingRecords.kt
+++ b/daemon/src/main/kotlin/io/primroseflow/daemon/peer/SchedulingRecords.kt
@@ -4,6 +4,7 @@
 import io.primroseflow.fleet.PromptPart
 import io.primroseflow.fleet.SlotRequest
 import io.primroseflow.fleet.SlotTicket
+import io.primroseflow.fleet.TargetCondition
 import io.primroseflow.model.DataCentreId
 import io.primroseflow.model.HostId
 import io.primroseflow.model.TargetId
@@ -58,6 +59,37 @@
     @SerialName("t") val target: TargetId
 )
 
+/**
+ * The encoded form of a [TargetCondition] other than in service.
+ *
+ * @property restMillis time left until the end of the target's rest, in milliseconds; `null` if the
+ *   target is leaving
+ */
+@Serializable
+internal data class TargetConditionRecord(
+    @SerialName("t") val target: TargetId,
+    @SerialName("r") val restMillis: Long?
+)
+
+/** Returns the encoded form of these conditions, sent at [now]. */
+internal fun Map<TargetId, TargetCondition>.toRecords(now: Instant): List<TargetConditionRecord> =
+    mapNotNull { (target, condition) ->
+        when (condition) {
+            TargetCondition.InService -> null
+
+            TargetCondition.Leaving -> TargetConditionRecord(target, restMillis = null)
+
+            is TargetCondition.Resting ->
+                TargetConditionRecord(target, (condition.until - now).inWholeMilliseconds)
+        }
+    }
+
+/** Returns the condition that was received at [now]. */
+internal fun TargetConditionRecord.toCondition(now: Instant): TargetCondition = when (restMillis) {
+    null -> TargetCondition.Leaving
+    else -> TargetCondition.Resting(now + restMillis.milliseconds)
+}
+
 /** Returns the encoded form of this request, sent at [now]. */
 internal fun SlotRequest.toRecord(now: Instant): SlotRequestRecord = SlotRequestRecord(
     ticket = ticket.number,
--- a/daemon/src/main/kotlin/io/primroseflow/daemon/target/TargetExchanges.kt
+++ b/daemon/src/main/kotlin/io/primroseflow/daemon/target/TargetExchanges.kt
@@ -4,6 +4,8 @@
 import io.primroseflow.daemon.fleet.Dialect
 import io.primroseflow.daemon.http.HttpAnswerHead
 import io.primroseflow.daemon.http.HttpField
+import io.primroseflow.fleet.TargetNotice
+import io.primroseflow.model.TargetId
 import java.io.ByteArrayOutputStream
 import java.io.IOException
 import kotlin.time.Duration
@@ -31,9 +33,19 @@
 
 private val successStatuses = 200..299
 
+/** Tracks whether targets take requests of this host, by what their answers state. */
+internal interface TargetConditionMonitor {
+    /** Returns whether a request may be sent to [target]. */
+    fun isAvailable(target: TargetId): Boolean
+
+    /** Handles the [notice] in an answer of [target] to the request with id [request]. */
+    fun onAnswer(target: TargetId, request: String?, notice: TargetNotice)
+}
+
 /**
  * An HTTP request that is sent to a target.
  *
+ * @property target the target that is meant
  * @property id request id that the target repeats in its answer
  * @property address host and port of the target
  * @property isStream whether a successful answer is forwarded event by event
@@ -43,6 +55,7 @@
  * @property gapTimeout time limit for each further event of a stream, however many bytes arrive
  */
 internal class Dispatch(
+    val target: TargetId,
     val id: String?,
     val method: String,
     val path: String,
@@ -64,6 +77,9 @@
      */
     data class NotRun(val isUnreachable: Boolean, val cause: String) : ExchangeResult
 
+    /** Nothing was sent, as the target takes no requests of this host at present. */
+    data object Withheld : ExchangeResult
+
     /** A complete answer, which was read into memory. */
     class Buffered(val head: HttpAnswerHead, val body: ByteArray) : ExchangeResult
 
@@ -98,15 +114,22 @@
 internal class TargetExchanger(
     private val pool: TargetConnectionPool,
     private val dialect: Dialect,
+    private val conditions: TargetConditionMonitor,
     private val time: TimeSource = TimeSource.Monotonic
 ) {
     private var bufferedBytes = 0L
 
     /** Sends [dispatch] once and reads its answer; connection failures are part of the result. */
     suspend fun run(dispatch: Dispatch, listener: ExchangeListener): ExchangeResult {
+        if (!conditions.isAvailable(dispatch.target)) return ExchangeResult.Withheld
         val connection = pool.acquireOrNull(dispatch.address, dispatch.maxIdle)
             ?: pool.openOrNull(dispatch.address)
             ?: return ExchangeResult.NotRun(isUnreachable = true, cause = "no connection")
+        // The condition may have changed while the connection was opened.
+        if (!conditions.isAvailable(dispatch.target)) {
+            connection.close()
+            return ExchangeResult.Withheld
+        }
         val exchange = Exchange(connection, dispatch, listener)
         try {
             val result = exchange.run()
@@ -179,7 +202,12 @@
             var skipped = 0
             while (true) {
                 val head = connection.readHead() ?: throw IOException("closed without an answer")
-                val id = dialect.readAnswer(head.status, head.fields).id
+                val traits = dialect.readAnswer(head.status, head.fields)
+                val id = traits.id
+                // A misdirected request was answered by another target.
+                if (head.status != HTTP_MISDIRECTED_REQUEST) {
+                    conditions.onAnswer(dispatch.target, id, traits.notice)
+                }
                 if (id == null || id == dispatch.id) return head
                 if (++skipped > MAX_SKIPPED_ANSWERS) {
                     throw IOException("only answers to other requests")
--- a/daemon/src/test/kotlin/io/primroseflow/daemon/entry/RoutedFixture.kt
+++ b/daemon/src/test/kotlin/io/primroseflow/daemon/entry/RoutedFixture.kt
@@ -20,6 +20,7 @@
 import io.primroseflow.daemon.storage.DiskFolder
 import io.primroseflow.fleet.FleetTarget
 import io.primroseflow.fleet.QuotaTolerance
+import io.primroseflow.fleet.TargetNotice
 import io.primroseflow.limits.RetryLimits
 import io.primroseflow.model.DataCentreId
 import io.primroseflow.model.TargetId
@@ -75,7 +76,11 @@
         id = fields.findOrNull("X-Request-Id"),
         isSigned = fields.findOrNull("X-Signature") != null,
         isNotRun = fields.findOrNull("X-Not-Run") != null,
-        idleLimit = null
+        idleLimit = null,
+        notice = TargetNotice(
+            isLeaving = fields.findOrNull("X-Leaving") != null,
+            restFor = fields.findOrNull("X-Rest")?.toInt()?.milliseconds
+        )
     )
 }
 
--- a/daemon/src/test/kotlin/io/primroseflow/daemon/entry/UnframedAnswersTest.kt
+++ b/daemon/src/test/kotlin/io/primroseflow/daemon/entry/UnframedAnswersTest.kt
@@ -122,7 +122,14 @@
                     targets.forEachIndexed { i, target ->
                         target.behaviour = { request, output ->
                             val isFirst = targets.sumOf { it.received.size } == 1
-                            val next = if (isFirst) first[i] else unframed(events(1..2), Ending.Close)
+                            val next = if (isFirst) {
+                                first[i]
+                            } else {
+                                unframed(
+                                    events(1..2),
+                                    Ending.Close
+                                )
+                            }
                             next(request, output)
                         }
                     }
--- a/daemon/src/test/kotlin/io/primroseflow/daemon/socket/StreamSocketTest.kt
+++ b/daemon/src/test/kotlin/io/primroseflow/daemon/socket/StreamSocketTest.kt
@@ -117,7 +117,9 @@
                 withPair {
                     val read = loopScope.async { socket.input.readAvailable(ByteArray(1)) }
                     loop.close()
-                    shouldThrow<IOException> { runBlocking { withTimeout(10_000) { read.await() } } }
+                    shouldThrow<IOException> {
+                        runBlocking { withTimeout(10_000) { read.await() } }
+                    }
                 }
             }
         }
