--- a/daemon/src/test/kotlin/io/primroseflow/daemon/entry/TargetNoticesTest.kt
+++ b/daemon/src/test/kotlin/io/primroseflow/daemon/entry/TargetNoticesTest.kt
@@ -93,11 +93,12 @@
                 },
                 "the header of a resumed stream" to Pair("/resumed/1") { request, output ->
                     val after = request.fields["last-event-id"]
-                    val chunks = "${if (after == null) "" else LEAVING}Transfer-Encoding: chunked\r\n"
+                    val chunks = "Transfer-Encoding: chunked\r\n"
                     if (after == null) {
                         output.stream(request.id, chunks, chunked(events(1..2)))
                     } else {
-                        output.stream(request.id, chunks, chunked(events(3..4)) + LAST_CHUNK)
+                        val body = chunked(events(3..4)) + LAST_CHUNK
+                        output.stream(request.id, LEAVING + chunks, body)
                     }
                     after != null
                 }
