Count the prefill of a request for those that run beside it

Cause: where targets have free slots, the expected time of a request weighed a cached prompt by its own prefill only, 0.01 ms a token, so that a slightly lower load outweighed 3,500 cached tokens. But a prefill delays every request that runs beside it. Change: the prefill counts once for the request and once for each other one.

--- a/core/src/main/kotlin/io/primroseflow/fleet/TargetState.kt
+++ b/core/src/main/kotlin/io/primroseflow/fleet/TargetState.kt
@@ -187,7 +187,8 @@
     fun expectedMillis(estimated: EstimatedRequest, isRemote: Boolean, now: Instant): Double {
         val load = inFlight.toDouble() / slotLimit.coerceAtLeast(1)
         val base = if (estimated.request.isStream) {
-            uncachedTokens(estimated.request) * PREFILL_MILLIS_PER_TOKEN +
+            // A prefill also delays the requests that are running beside it.
+            uncachedTokens(estimated.request) * PREFILL_MILLIS_PER_TOKEN * (1 + inFlight) +
                 estimated.outputTokens * DECODE_MILLIS_PER_TOKEN
         } else {
             estimated.nominalMillis
