Give a freed slot to a request whose prompt is cached at its target

Change: while the first request in the queue has time to spare for its goal, a request of the same rank that has at least 500 more tokens of its prompt cached at the target goes first. The first one is passed over only as long as it stays in time; lower ranks never overtake by this.

--- a/core/src/main/kotlin/io/primroseflow/fleet/FleetScheduler.kt
+++ b/core/src/main/kotlin/io/primroseflow/fleet/FleetScheduler.kt
@@ -355,7 +355,8 @@
         val decisions = ArrayList<SlotDecision>()
         while (true) {
             val first = service.nextOrNull(now) ?: break
-            val choice = service.targets.chooseOrNull(first, now)?.let { first to it }
+            val choice = service.targets.chooseOrNull(first, now)
+                ?.let { service.bestCachedAt(it, first, now) to it }
                 ?: backfillOrNull(service, now)
                 ?: break
             val (estimated, target) = choice
--- a/core/src/main/kotlin/io/primroseflow/fleet/ServiceState.kt
+++ b/core/src/main/kotlin/io/primroseflow/fleet/ServiceState.kt
@@ -18,6 +18,15 @@
 /** Time after a refusal for which lower ranks may not overtake the refused rank. */
 private val SHED_PROTECTION: Duration = 500.milliseconds
 
+/** Spare time that a request must have to let one with a cached prompt go first. */
+private val REUSE_MARGIN: Duration = 100.milliseconds
+
+/** Number of cached prompt tokens by which a request must exceed the one that it overtakes. */
+private const val MIN_REUSED_TOKENS = 500
+
+/** Number of requests of a rank that are examined for cached prompts. */
+private const val REUSE_DEPTH = 16
+
 /** Minimum number of waiting requests of a rank for its grant rate to determine the wait. */
 private const val MIN_QUEUE_FOR_RATE = 4
 
@@ -78,6 +87,25 @@
         return queue.nextOrNull(now, overallGrantRate.expectedTime(1, now), lowestRank)
     }
 
+    /**
+     * Returns the request that gets a slot at [target] instead of [first], of the same rank, if
+     * much more of its prompt is cached there and [first] can wait for a further slot.
+     */
+    fun bestCachedAt(target: TargetState, first: EstimatedRequest, now: Instant): EstimatedRequest {
+        val spare = first.dueAt(now) - now - overallGrantRate.expectedTime(2, now)
+        if (spare < REUSE_MARGIN) return first
+        val least = target.cachedTokens(first.request) + MIN_REUSED_TOKENS
+        return queue.inOrder(now)
+            .takeWhile { it.request.rank <= first.request.rank }
+            .filter { it.request.rank == first.request.rank }
+            .take(REUSE_DEPTH)
+            .filter {
+                target.cachedTokens(it.request) >= least &&
+                    target.canStart(it, targets.kvCapacity, now)
+            }
+            .maxByOrNull { target.cachedTokens(it.request) } ?: first
+    }
+
     /** Returns the expected wait for a slot at [position], from 1, in the queue of [rank]. */
     fun waitAtPosition(rank: Int, position: Int, now: Instant): Duration = when {
         position < MIN_QUEUE_FOR_RATE -> Duration.ZERO
--- a/core/src/main/kotlin/io/primroseflow/fleet/TargetState.kt
+++ b/core/src/main/kotlin/io/primroseflow/fleet/TargetState.kt
@@ -250,6 +250,9 @@
         failureRate += FAILURE_SAMPLE_WEIGHT * ((if (isFailure) 1.0 else 0.0) - failureRate)
     }
 
+    /** Returns the prompt tokens of [request] that the target is assumed to have cached. */
+    fun cachedTokens(request: SlotRequest): Int = request.promptTokens - uncachedTokens(request)
+
     /** Returns the prompt tokens of [request] that follow its longest cached prefix. */
     private fun uncachedTokens(request: SlotRequest): Int {
         if (request.parts.isEmpty()) return request.promptTokens
--- a/core/src/test/kotlin/io/primroseflow/fleet/PromptReuseTest.kt
+++ b/core/src/test/kotlin/io/primroseflow/fleet/PromptReuseTest.kt
@@ -1,6 +1,8 @@
 package io.primroseflow.fleet
 
 import io.kotest.core.spec.style.DescribeSpec
+import io.kotest.matchers.collections.shouldContainExactly
+import io.kotest.matchers.ints.shouldBeGreaterThanOrEqual
 import io.kotest.matchers.longs.shouldBeLessThan
 import io.kotest.matchers.shouldBe
 import io.primroseflow.model.TargetId
@@ -109,5 +111,48 @@
                 again shouldBeLessThan REQUESTS * SESSION_TOKENS.toLong() / 10
                 result.inTime shouldBe REQUESTS
             }
+
+            // A freed slot must not go to a request that has its prompt cached elsewhere.
+            for (load in listOf(0.9, 1.0)) {
+                it("reuse prompts at a load of $load, and are served no later for it") {
+                    val blind = replaySessions(load, hasParts = false)
+                    val aware = replaySessions(load, hasParts = true)
+                    aware.prefilled shouldBeLessThan blind.prefilled * 3 / 4
+                    aware.inTime shouldBeGreaterThanOrEqual blind.inTime
+                }
+            }
+        }
+
+        describe("a request that another one of its rank overtakes for its cached prompt") {
+            val cached = listOf(PromptPart("p", 3_000))
+
+            for ((goal, isOvertaken) in listOf(3.seconds to true, 150.milliseconds to false)) {
+                val name = if (isOvertaken) "is" else "is not"
+                it("$name passed over if its goal is $goal away") {
+                    val scheduler = scheduler(fleetTarget("a"))
+                    val requests = SlotRequests()
+                    val holder = requests.next(parts = cached, prompt = 3_000)
+                    scheduler.submit(holder, start)
+                    val other = requests.next(goal = goal)
+                    val next = requests.next(parts = cached, prompt = 3_000, goal = 4.seconds)
+                    scheduler.submit(other, start)
+                    scheduler.submit(next, start)
+                    val expected = if (isOvertaken) next else other
+                    scheduler.release(holder.ticket, served(50), start + 50.milliseconds)
+                        .granted() shouldContainExactly listOf(expected.ticket)
+                }
+            }
+
+            it("is not overtaken by a lower rank") {
+                val scheduler = scheduler(fleetTarget("a"))
+                val requests = SlotRequests()
+                val holder = requests.next(parts = cached, prompt = 3_000, rank = 1)
+                scheduler.submit(holder, start)
+                val other = requests.next(rank = 0, goal = 900.milliseconds)
+                scheduler.submit(other, start)
+                scheduler.submit(requests.next(parts = cached, prompt = 3_000, rank = 1), start)
+                scheduler.release(holder.ticket, served(50), start + 50.milliseconds)
+                    .granted() shouldContainExactly listOf(other.ticket)
+            }
         }
     })
