--- a/core/src/main/kotlin/io/primroseflow/fleet/ReportedConditions.kt
+++ b/core/src/main/kotlin/io/primroseflow/fleet/ReportedConditions.kt
@@ -25,6 +25,7 @@
      * @return whether the targets that are leaving have changed
      */
     fun replace(host: HostId, conditions: Map<TargetId, TargetCondition>, now: Instant): Boolean {
+        if (conditions.isEmpty() && host !in byHost) return false
         val ended = byHost[host].orEmpty().filter { (target, condition) ->
             target !in conditions && condition is TargetCondition.Resting &&
                 now < condition.until + RETURN_PERIOD
--- a/daemon/src/main/kotlin/io/primroseflow/daemon/entry/RequestRelay.kt
+++ b/daemon/src/main/kotlin/io/primroseflow/daemon/entry/RequestRelay.kt
@@ -1,35 +1,25 @@
 package io.primroseflow.daemon.entry
 
-import io.primroseflow.daemon.fleet.Dialect
 import io.primroseflow.daemon.fleet.DispatchTraits
-import io.primroseflow.daemon.fleet.RequestTraits
 import io.primroseflow.daemon.http.HttpAnswerHead
 import io.primroseflow.daemon.http.HttpConnection
-import io.primroseflow.daemon.http.Incoming
 import io.primroseflow.daemon.target.Dispatch
 import io.primroseflow.daemon.target.ExchangeListener
 import io.primroseflow.daemon.target.ExchangeResult
-import io.primroseflow.daemon.target.TargetConditionMonitor
-import io.primroseflow.daemon.target.TargetExchanger
 import io.primroseflow.fleet.FleetTarget
 import io.primroseflow.fleet.SlotDecision
 import io.primroseflow.fleet.SlotEnd
 import io.primroseflow.fleet.SlotRefusal
 import io.primroseflow.fleet.SlotRequest
-import io.primroseflow.model.DataCentreId
 import io.primroseflow.model.TargetId
 import io.primroseflow.routing.Repeatability
-import io.primroseflow.routing.RoutedService
 import io.primroseflow.routing.RoutedTeam
-import io.primroseflow.routing.ServiceId
 import io.primroseflow.routing.ServiceRoute
 import java.io.IOException
-import kotlin.time.Clock
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 import kotlin.time.Instant
-import kotlinx.coroutines.CancellationException
 
 /**
  * Maximum number of dispatches of a request beyond its allowed attempts. A dispatch that the target
@@ -55,50 +45,6 @@
  */
 private val NON_IDEMPOTENT_MAX_IDLE: Duration = 2.seconds
 
-/** Cancels a request whose caller's connection has failed. */
-internal class CallerDisconnectedException(cause: IOException) :
-    CancellationException("the caller's connection failed: ${cause.message}")
-
-/** The components of a host that all its relays use. */
-internal class RelayContext(
-    val clock: Clock,
-    val dataCentre: DataCentreId,
-    val dialect: Dialect,
-    val slots: SlotClient,
-    val exchanger: TargetExchanger,
-    val conditions: TargetConditionMonitor
-)
-
-/**
- * A request that was authenticated and routed.
- *
- * @property team team of the caller, `null` if the route needs no credential
- * @property cost cost that is charged to the quota of the team
- * @property deadline time at which the caller must have the whole answer
- */
-internal class RoutedRequest(
-    val incoming: Incoming.Request,
-    val traits: RequestTraits,
-    val route: ServiceRoute,
-    val service: RoutedService,
-    val team: RoutedTeam?,
-    val cost: Long,
-    val arrivedAt: Instant,
-    val deadline: Instant
-)
-
-/** The result of a relay, which decides what happens to the caller's connection. */
-internal sealed interface RelayResult {
-    /** The complete answer of a target was forwarded. */
-    data class Answered(val status: Int) : RelayResult
-
-    /** The request has failed with [refusal], which is still to be sent to the caller. */
-    data class Refused(val refusal: EntryRefusal, val retryAfter: Duration? = null) : RelayResult
-
-    /** The answer was forwarded in part and cannot be completed; the connection must be closed. */
-    data class Broken(val cause: String) : RelayResult
-}
-
 /**
  * Relays one request: acquires a slot, dispatches the request to the target, forwards the answer
  * to the caller and retries elsewhere where that is allowed. At most one dispatch is in progress.
