Test the reports of targets' conditions and their lines in explanations

The same gate of the host would hide a scheduler that is never told; these cases see the report itself. With reportChange bound to the interval of idle hosts the first one fails.

--- a/core/src/test/kotlin/io/primroseflow/explain/LogAnalysisTest.kt
+++ b/core/src/test/kotlin/io/primroseflow/explain/LogAnalysisTest.kt
@@ -56,6 +56,22 @@
                     listOf("scheduling_alone", "request_ended")
             }
 
+            it("returns what targets stated to its host, whichever answer stated it") {
+                val condition = line(
+                    9_600,
+                    "h1",
+                    "target_condition",
+                    "target" to "t1",
+                    "condition" to "resting",
+                    "rest_ms" to "900",
+                    "answer_to" to "r0"
+                )
+                val explanation = explainRequestOrNull(parse(condition, requestEnded), "r1")
+                    .shouldNotBeNull()
+                explanation.lines.map { it.event } shouldContainExactly
+                    listOf("target_condition", "request_ended")
+            }
+
             it("describes the cause") {
                 val explanation = explainRequestOrNull(parse(requestEnded, schedulingAlone), "r1")
                     .shouldNotBeNull()
--- a/daemon/src/test/kotlin/io/primroseflow/daemon/entry/SchedulerLinkTest.kt
+++ b/daemon/src/test/kotlin/io/primroseflow/daemon/entry/SchedulerLinkTest.kt
@@ -9,9 +9,11 @@
 import io.primroseflow.daemon.EventLog
 import io.primroseflow.daemon.fleet.RoutedPolicyInForce
 import io.primroseflow.daemon.peer.PeerMessage
+import io.primroseflow.daemon.peer.TargetConditionRecord
 import io.primroseflow.fleet.FleetShare
 import io.primroseflow.model.DataCentreId
 import io.primroseflow.model.HostId
+import io.primroseflow.model.TargetId
 import kotlin.time.Clock
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
@@ -125,6 +127,24 @@
                 fixture.receivers() shouldHaveSize 5
             }
 
+            // Until it knows, the scheduler grants slots of targets that take no requests.
+            it("is told at once what targets state, also by a host without requests") {
+                val fixture = LinkFixture()
+                fixture.link.tick()
+                fixture.reply(a, number = 1, term = 1)
+                fixture.receivers()
+                val conditions = listOf(
+                    TargetConditionRecord(TargetId("x"), restMillis = null),
+                    TargetConditionRecord(TargetId("y"), restMillis = 700)
+                )
+                fixture.reported =
+                    ReportedRequests(emptyList(), emptyList(), conditions = conditions)
+                fixture.link.reportChange()
+                val (to, report) = fixture.sent.single()
+                to shouldBe a
+                report.conditions shouldContainExactly conditions
+            }
+
             it("of an older term does not replace the current one") {
                 val fixture = LinkFixture()
                 fixture.link.tick()
--- /dev/null
+++ b/daemon/src/test/kotlin/io/primroseflow/daemon/peer/SchedulingRecordsTest.kt
@@ -0,0 +1,58 @@
+package io.primroseflow.daemon.peer
+
+import io.kotest.core.spec.style.DescribeSpec
+import io.kotest.matchers.shouldBe
+import io.primroseflow.control.PolicyRevision
+import io.primroseflow.fleet.TargetCondition
+import io.primroseflow.model.DataCentreId
+import io.primroseflow.model.TargetId
+import io.primroseflow.timeline.HybridTime
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Instant
+
+private val sentAt = Instant.fromEpochSeconds(1_000)
+
+private fun reportOf(conditions: List<TargetConditionRecord>) = PeerMessage.HostReport(
+    number = 1,
+    term = 1,
+    policy = PolicyRevision(1),
+    fleet = 1,
+    dataCentre = DataCentreId("d"),
+    held = emptyList(),
+    waiting = emptyList(),
+    knownHeld = emptyList(),
+    knownWaiting = emptyList(),
+    used = emptyMap(),
+    conditions = conditions
+)
+
+private fun sent(message: PeerMessage): PeerMessage {
+    val frame = decodeFrame(encodeFrame(PeerFrame.Batch(HybridTime(1, 0), listOf(message))))
+    return (frame as PeerFrame.Batch).messages.single()
+}
+
+class SchedulingRecordsTest :
+    DescribeSpec({
+        describe("the conditions of targets in a report") {
+            it("are received as they were sent, with rests by the receiver's clock") {
+                val conditions = mapOf(
+                    TargetId("a") to TargetCondition.Leaving,
+                    TargetId("b") to TargetCondition.Resting(sentAt + 700.milliseconds),
+                    TargetId("c") to TargetCondition.InService
+                )
+                val report = sent(reportOf(conditions.toRecords(sentAt))) as PeerMessage.HostReport
+                val receivedAt = Instant.fromEpochSeconds(5)
+                report.conditions.associate { it.target to it.toCondition(receivedAt) } shouldBe
+                    mapOf(
+                        TargetId("a") to TargetCondition.Leaving,
+                        TargetId("b") to
+                            TargetCondition.Resting(receivedAt + 700.milliseconds)
+                    )
+            }
+
+            it("may be missing, as in reports of hosts that all targets serve") {
+                val report = reportOf(emptyList())
+                sent(report) shouldBe report
+            }
+        }
+    })
