--- a/daemon/src/test/kotlin/io/primroseflow/daemon/target/EventSplitterTest.kt
+++ b/daemon/src/test/kotlin/io/primroseflow/daemon/target/EventSplitterTest.kt
@@ -30,6 +30,19 @@
                 }
             }
 
+            // The end of the connection alone must not make a part of an event complete.
+            it("counts as broken off wherever it is cut, but for the ends of its events") {
+                val eventEnds = Regex("\\n\\r?\\n").findAll(STREAM).map {
+                    it.range.last + 1
+                }.toSet()
+                for (cut in 1..STREAM.length) {
+                    val splitter = EventSplitter()
+                    val forwarded = splitter.feed(STREAM.take(cut))
+                    splitter.hasPartialEvent shouldBe (cut !in eventEnds)
+                    forwarded shouldBe STREAM.take(eventEnds.filter { it <= cut }.maxOrNull() ?: 0)
+                }
+            }
+
             it("is forwarded up to its last complete event if it arrives byte by byte") {
                 val splitter = EventSplitter()
                 var forwarded = ""
