Read the rate that targets state and log its changes

Nothing acts on the rate yet.

An answer without a rate ends it only if its request was sent after the last answer with one.

--- a/core/src/main/kotlin/io/primroseflow/fleet/TargetCondition.kt
+++ b/core/src/main/kotlin/io/primroseflow/fleet/TargetCondition.kt
@@ -14,17 +14,3 @@
     /** The target takes no requests of the host before [until]. */
     public data class Resting(val until: Instant) : TargetCondition
 }
-
-/**
- * What the header of an answer states about the target that sent it.
- *
- * @property isLeaving whether the target is about to stop
- * @property restFor time for which the target takes no requests of the receiver, `null` if not
- *   stated
- */
-public data class TargetNotice(val isLeaving: Boolean, val restFor: Duration?) {
-    public companion object {
-        /** The notice of an answer that states nothing about its target. */
-        public val NONE: TargetNotice = TargetNotice(isLeaving = false, restFor = null)
-    }
-}
--- a/daemon/src/main/kotlin/io/primroseflow/daemon/entry/EntryHost.kt
+++ b/daemon/src/main/kotlin/io/primroseflow/daemon/entry/EntryHost.kt
@@ -179,6 +179,7 @@
             "caller_connections" to { callers.connectionCount },
             "targets" to { slots.targets.size },
             "targets_unavailable" to { conditions.current.size },
+            "targets_limited" to { conditions.limitedCount },
             "quarantined_parts" to { slots.quarantinedCount },
             "ready" to { if (isReady) 1 else 0 },
             "shared_scheduler" to { if (link.isAttached) 1 else 0 },
--- a/daemon/src/main/kotlin/io/primroseflow/daemon/target/TargetExchanges.kt
+++ b/daemon/src/main/kotlin/io/primroseflow/daemon/target/TargetExchanges.kt
@@ -38,8 +38,12 @@
     /** Returns whether a request may be sent to [target]. */
     fun isAvailable(target: TargetId): Boolean
 
-    /** Handles the [notice] in an answer of [target] to the request with id [request]. */
-    fun onAnswer(target: TargetId, request: String?, notice: TargetNotice)
+    /**
+     * Handles the [notice] in an answer of [target] to the request with id [request].
+     *
+     * @param sentFor time since the request was sent, `null` if not known
+     */
+    fun onAnswer(target: TargetId, request: String?, sentFor: Duration?, notice: TargetNotice)
 }
 
 /**
@@ -167,6 +171,7 @@
         var idleLimit: Duration? = null
             private set
         private val isWritten = CompletableDeferred<Unit>()
+        private val startedAt = time.markNow()
 
         suspend fun run(): ExchangeResult = coroutineScope {
             listener.onWriteStarting()
@@ -215,7 +220,8 @@
                 val id = traits.id
                 // A misdirected request was answered by another target.
                 if (head.status != HTTP_MISDIRECTED_REQUEST) {
-                    conditions.onAnswer(dispatch.target, id, traits.notice)
+                    val sentFor = startedAt.elapsedNow().takeIf { id == null || id == dispatch.id }
+                    conditions.onAnswer(dispatch.target, id, sentFor, traits.notice)
                 }
                 if (id == null || id == dispatch.id) return head
                 if (++skipped > MAX_SKIPPED_ANSWERS) {
