--- a/core/src/test/kotlin/io/primroseflow/fleet/ConditionSimulation.kt
+++ b/core/src/test/kotlin/io/primroseflow/fleet/ConditionSimulation.kt
@@ -24,6 +24,20 @@
 /** Number of arrivals from one host that are allowed in a rest after [REST_GRACE]. */
 private const val MAX_ARRIVALS_IN_REST = 2
 
+/** Length of the sliding window in which arrivals count against a stated rate. */
+private val RATE_WINDOW: Duration = 4.seconds
+
+/** Time after which arrivals from a host that was told of a rate count. */
+private val RATE_GRACE: Duration = 500.milliseconds
+
+/** Time without trouble after which a host is held to a rate. */
+private val CONTACT: Duration = 3.seconds
+
+/** Multiple of a stated rate that is allowed, and the requests allowed beyond it. */
+private const val RATE_FACTOR = 1.5
+
+private const val RATE_EXCESS = 5
+
 /** Time between a target's notice that it is leaving and its end. */
 private val LEAVING_TIME: Duration = 2.seconds
 
@@ -66,6 +80,15 @@
         var isLeaving = false
         var isGone = false
         var restUntil = Instant.DISTANT_PAST
+
+        /** Requests a second that the target states to take, `null` if it states none. */
+        var perSecond: Double? = null
+
+        /** Time at which each host was first told of a rate. */
+        val toldAt = HashMap<HostId, Instant>()
+
+        /** Arrivals from hosts that were told of a rate, unless they were in trouble. */
+        val limitedArrivals = ArrayList<Instant>()
         val arrivals = ArrayList<Pair<HostId, Instant>>()
 
         /** Rests that were stated, with the time of the answer and the end of the rest. */
@@ -78,7 +101,9 @@
         val table = TargetConditionTable()
         val waiting = LinkedHashMap<SlotTicket, Request>()
         val held = LinkedHashMap<SlotTicket, HeldSlot>()
+        val rates = StatedRates()
         val leavingSince = HashMap<TargetId, Instant>()
+        var troubledAt = Instant.DISTANT_PAST
 
         /** Scheduler of a host on its own; `null` while it is attached. */
         var local: FleetScheduler? = null
@@ -114,6 +139,7 @@
             event.action()
         }
         targets.forEach(::checkRests)
+        targets.forEach(::checkRate)
         return result
     }
 
@@ -136,6 +162,11 @@
         targets[index].restUntil = now + millis.milliseconds
     }
 
+    /** Lets the target at [index] state that it takes [perSecond] requests a second from now on. */
+    fun limit(index: Int, perSecond: Double) {
+        targets[index].perSecond = perSecond
+    }
+
     private fun leave(index: Int) {
         val target = targets[index]
         if (target.isLeaving) return
@@ -188,12 +219,14 @@
         local.updateConditions(host.id, host.conditions(), now)
         local.updateTargets(listed(), now)
         host.local = local
+        host.troubledAt = now
         local.reconcile(host.id, holdingsOf(host), now).decisions.deliver(Duration.ZERO)
     }
 
     private fun attach(host: Host) {
         if (host.local == null) return
         host.local = null
+        host.troubledAt = now
         scheduler.attachHost(host.id, now)
         scheduler.updateConditions(host.id, host.conditions(), now)
         scheduler.reconcile(host.id, holdingsOf(host), now).decisions.deliver(HOP)
@@ -277,12 +310,17 @@
         val sentAt = now
         schedule(now + HOP) {
             target.arrivals += host.id to now
+            val toldAt = target.toldAt[host.id]
+            val isInTouch = host.local == null && now - host.troubledAt > CONTACT
+            if (toldAt != null && now > toldAt + RATE_GRACE && isInTouch) {
+                target.limitedArrivals += now
+            }
             val since = host.leavingSince[target.info.id]
             if (since != null && sentAt > since) result.breaches += "leaving ${target.info.id}"
             val isTurnedAway = target.isGone || now < target.restUntil
             val time = if (isTurnedAway) HOP else random.nextInt(30, 200).milliseconds
             if (!isTurnedAway) countStart(request)
-            schedule(now + time) { answer(host, request, target, isTurnedAway) }
+            schedule(now + time) { answer(host, request, target, sentAt, isTurnedAway) }
         }
     }
 
@@ -290,12 +328,21 @@
         if (now <= request.slot.goal) result.withinGoal++ else result.late++
     }
 
-    private fun answer(host: Host, request: Request, target: Target, isTurnedAway: Boolean) {
+    private fun answer(
+        host: Host,
+        request: Request,
+        target: Target,
+        sentAt: Instant,
+        isTurnedAway: Boolean
+    ) {
         val id = target.info.id
         val rest = (target.restUntil - now).takeIf { isTurnedAway && it > Duration.ZERO }
         if (rest != null) target.rests += Triple(host.id, now, target.restUntil)
+        val perSecond = target.perSecond
         schedule(now + HOP) {
             if (target.isLeaving) host.leavingSince.putIfAbsent(id, now)
+            if (perSecond != null) target.toldAt.putIfAbsent(host.id, now)
+            host.rates.record(id, StatedRate(perSecond, if (perSecond == null) sentAt else now))
             val changed = host.table.record(id, TargetNotice(target.isLeaving, rest), now)
             if (changed != null && setup.readsNotices) report(host)
             val end = if (isTurnedAway) SlotEnd.NotRun(false) else SlotEnd.Served(5, 100, 20)
@@ -355,6 +402,18 @@
         }
     }
 
+    private fun checkRate(target: Target) {
+        val perSecond = target.perSecond ?: return
+        val allowed = (RATE_FACTOR * perSecond * (RATE_WINDOW / 1.seconds)).toInt() + RATE_EXCESS
+        val times = target.limitedArrivals
+        val most = times.indices.maxOfOrNull { first ->
+            times.drop(first).takeWhile { it < times[first] + RATE_WINDOW }.size
+        } ?: 0
+        if (most > allowed) {
+            result.breaches += "$most arrivals at ${target.info.id}, which allows $allowed"
+        }
+    }
+
     private fun schedule(at: Instant, action: () -> Unit) {
         events += Event(at, eventCount++, action)
     }
--- a/core/src/test/kotlin/io/primroseflow/fleet/ConditionSimulationTest.kt
+++ b/core/src/test/kotlin/io/primroseflow/fleet/ConditionSimulationTest.kt
@@ -35,9 +35,9 @@
 
 class ConditionSimulationTest :
     DescribeSpec({
-        describe("random sequences of leaving, resting, replacement, partition and takeover") {
-            val seeds = onlySeed?.let { it..it } ?: 1..seedCount
+        val seeds = onlySeed?.let { it..it } ?: 1..seedCount
 
+        describe("random sequences of leaving, resting, replacement, partition and takeover") {
             // A target must not get requests of a host that it has told not to send any.
             it("send nothing that the targets do not take, and end every request") {
                 for (seed in seeds) {
@@ -61,6 +61,19 @@
             }
         }
 
+        describe("a target that states the rate of requests that it takes from all hosts") {
+            // Each host went on sending as before, so that the target got several times its rate.
+            it("gets no more than that rate allows, summed over the hosts that were told")
+                .config(enabled = System.getProperty("primroseflow.known.red") != null) {
+                    for (seed in seeds) {
+                        val result = ConditionSimulation(ConditionSetup(seed)).run {
+                            at(1.seconds) { limit(seed % 4, perSecond = 1.0 + seed % 5) }
+                        }
+                        withClue("seed $seed") { result.breaches.shouldBeEmpty() }
+                    }
+                }
+        }
+
         describe("half of a pool that rests for three seconds of a burst") {
             for (hosts in listOf(10, 100)) {
                 it(
