Count each paced request, also when its permit is due within a rounding error

The token bucket said that a permit was there when less than half a nanosecond was missing, and then took none. The pacer now keeps the time at which its bucket is full, and always takes.

--- a/core/src/main/kotlin/io/primroseflow/limits/RatePacer.kt
+++ b/core/src/main/kotlin/io/primroseflow/limits/RatePacer.kt
@@ -50,31 +50,40 @@
 }
 
 /**
- * Paces the requests to a target that take up a rate, by a token bucket that starts empty.
+ * Paces the requests to a target that take up a whole rate: a bucket of permits that starts empty.
  *
  * An empty start keeps the sum over successive pacers within the rate, since none of them knows
  * what the one before it has granted.
  */
 public class SteadyPacer(perSecond: Double, now: Instant) : RatePacer() {
-    private val bucket = TokenBucket(grantedRate(perSecond), burstOf(perSecond), now).apply {
-        capLevel(0.0, now)
-    }
+    private var interval = 1.seconds / grantedRate(perSecond)
+    private var burst = burstOf(interval)
+
+    /** Time at which the bucket is full again. */
+    private var fullAt = now + interval * burst
 
     /** Changes the rate to [perSecond]; what the target has got lately still counts. */
     public fun update(perSecond: Double, now: Instant) {
-        bucket.reconfigure(grantedRate(perSecond), burstOf(perSecond), now)
+        val missing = ((fullAt - now) / interval).coerceAtLeast(0.0)
+        val permits = (burst - missing).coerceAtMost(burst)
+        interval = 1.seconds / grantedRate(perSecond)
+        burst = burstOf(interval)
+        fullAt = now + interval * (burst - minOf(permits, burst))
     }
 
-    override fun timeUntilNext(now: Instant): Duration = bucket.timeUntilAvailable(1.0, now)
+    override fun timeUntilNext(now: Instant): Duration =
+        (fullAt - interval * (burst - 1) - now).coerceAtLeast(Duration.ZERO)
 
     override fun onBegin(now: Instant) {
-        bucket.tryTake(1.0, now)
+        fullAt = maxOf(fullAt, now) + interval
     }
 
-    override fun onUnsent(): Unit = bucket.refund(1.0)
+    override fun onUnsent() {
+        fullAt -= interval
+    }
 
-    private fun burstOf(perSecond: Double): Double =
-        1 + minOf(grantedRate(perSecond) * (BURST_TIME / 1.seconds), MAX_EXTRA_BURST)
+    private fun burstOf(interval: Duration): Double =
+        1 + minOf(BURST_TIME / interval, MAX_EXTRA_BURST)
 }
 
 /**
