Keep the retry budget over successive schedulers

Each new scheduler, and each host that began to schedule alone, granted half of the allowance anew. FleetSchedulerTest "stays within the allowance over all schedulers of a window", ten takeovers in ten seconds: 100 retries where 20 are allowed before, at most 20 now.

After a takeover the allowance is a tenth and grows to its full size within the window; the part for first attempts counts from the takeover as before.

Weighed: reports of retries like those of quotas, which would lose nothing of the budget but add a table a service to each report.

--- a/core/src/main/kotlin/io/primroseflow/fleet/FleetScheduler.kt
+++ b/core/src/main/kotlin/io/primroseflow/fleet/FleetScheduler.kt
@@ -61,6 +61,7 @@
     private val runningByHost = HashMap<HostId, HashMap<SlotTicket, RunningRequest>>()
     private val quotas = TeamQuotas(tolerance)
     private val retryBudgets = HashMap<ServiceId, RetryBudget>()
+    private var retriesAllowedSince = Instant.DISTANT_PAST
 
     /** Requests that wait, uncharged, for the outcome of others with a suspected part. */
     private val delayed = LinkedHashMap<SlotTicket, SlotRequest>()
@@ -134,6 +135,16 @@
      */
     public fun startTakeover(fraction: Double, now: Instant) {
         quotas.startTakeover(fraction, now)
+        startRetryBudgets(now)
+    }
+
+    /**
+     * Lets the allowances of the retry budgets grow from [now] on, since an earlier scheduler may have
+     * used them up.
+     */
+    public fun startRetryBudgets(now: Instant) {
+        retriesAllowedSince = now
+        retryBudgets.clear()
     }
 
     /**
@@ -198,8 +209,9 @@
     private fun tryRetry(service: ServiceId, now: Instant): Boolean =
         budgetOf(service)?.tryRetry(share.hosts, now) ?: true
 
-    private fun budgetOf(service: ServiceId): RetryBudget? =
-        retryLimits?.let { limits -> retryBudgets.getOrPut(service) { RetryBudget(limits) } }
+    private fun budgetOf(service: ServiceId): RetryBudget? = retryLimits?.let { limits ->
+        retryBudgets.getOrPut(service) { RetryBudget(limits, retriesAllowedSince) }
+    }
 
     private fun isKnown(request: SlotRequest) =
         request.ticket in running || request.ticket in delayed ||
--- a/core/src/main/kotlin/io/primroseflow/limits/RetryBudget.kt
+++ b/core/src/main/kotlin/io/primroseflow/limits/RetryBudget.kt
@@ -21,13 +21,22 @@
 /** Fraction of the limits to use, so that windows with other boundaries stay within them too. */
 private const val USABLE_FRACTION = 0.5
 
+/** Fraction of the allowance that is available at once after another budget. */
+private const val INITIAL_FRACTION = 0.1
+
 /**
  * One host's share of the retry budget of a service.
  *
  * Each host applies the ratio to its own requests and takes an equal share of the allowance, so
  * all hosts together stay within the limits without communicating. This class is not thread-safe.
+ *
+ * @param allowedSince time from which the allowance grows to its full size within one window, since
+ *   another budget may have used it up before
  */
-public class RetryBudget(private val limits: RetryLimits) {
+public class RetryBudget(
+    private val limits: RetryLimits,
+    private val allowedSince: Instant = Instant.DISTANT_PAST
+) {
     private val firstAttempts = ArrayDeque<Instant>()
     private val retries = ArrayDeque<Instant>()
 
@@ -45,12 +54,15 @@
     public fun tryRetry(hosts: Int, now: Instant): Boolean {
         trim(now)
         val share = limits.ratio * firstAttempts.size +
-            limits.allowance.toDouble() / hosts.coerceAtLeast(1)
+            limits.allowance * grownFraction(now) / hosts.coerceAtLeast(1)
         if (retries.size + 1 > share * USABLE_FRACTION) return false
         retries.addLast(now)
         return true
     }
 
+    private fun grownFraction(now: Instant): Double =
+        (INITIAL_FRACTION + (now - allowedSince) / limits.window).coerceIn(INITIAL_FRACTION, 1.0)
+
     private fun trim(now: Instant) {
         val start = now - limits.window
         while (firstAttempts.firstOrNull()?.let { it < start } == true) firstAttempts.removeFirst()
--- a/core/src/test/kotlin/io/primroseflow/fleet/FleetSchedulerTest.kt
+++ b/core/src/test/kotlin/io/primroseflow/fleet/FleetSchedulerTest.kt
@@ -544,6 +544,23 @@
                 granted(scheduler, List(50) { one.next(prompt = 10, isRetry = true) }) shouldBe 19
             }
 
+            // Each scheduler would have granted the allowance anew.
+            it("stays within the allowance over all schedulers of a window, one after the other") {
+                val retries = (0..<10).sumOf { change ->
+                    val now = start + 1.seconds * change
+                    val scheduler = FleetScheduler(retryLimits = limits)
+                    scheduler.startTakeover(0.25, now)
+                    scheduler.updatePolicy(fleetPolicy(), now)
+                    scheduler.updateTargets(listOf(fleetTarget("1", 500)), now)
+                    val requests = SlotRequests(HostId("h$change"))
+                    (0..<50).sumOf { step ->
+                        val retry = requests.next(prompt = 10, isRetry = true)
+                        scheduler.submit(retry, now + 20.milliseconds * step).granted().size
+                    }
+                }
+                retries shouldBeLessThanOrEqualTo 20
+            }
+
             it("refuses what exceeds it with a reason of its own") {
                 val scheduler = FleetScheduler(retryLimits = limits.copy(allowance = 0))
                 scheduler.updatePolicy(fleetPolicy(), start)
--- a/daemon/src/main/kotlin/io/primroseflow/daemon/entry/SlotClient.kt
+++ b/daemon/src/main/kotlin/io/primroseflow/daemon/entry/SlotClient.kt
@@ -239,6 +239,7 @@
         scheduler.updateQuotaFractions(quotaFractions(share, now), now)
         scheduler.recallUsage(self, usage.recent(now), now)
         scheduler.capQuotaLevels(LOCAL_BURST_FRACTION, now)
+        scheduler.startRetryBudgets(now)
         localScheduler = scheduler
         scheduler.updateConditions(self, conditions(), now)
         scheduler.updateRates(rates.current(now), now)
