--- a/core/src/main/kotlin/io/primroseflow/explain/LogAnalysis.kt
+++ b/core/src/main/kotlin/io/primroseflow/explain/LogAnalysis.kt
@@ -39,6 +39,7 @@
     "host_started",
     "targets_changed",
     "target_condition",
+    "target_rate",
     "directory_lost",
     "policy_in_force",
     "part_quarantined",
