Let hosts on their own use targets without a rate first

Cause: a host on its own gets its share of the slots of all targets, one slot with 100 hosts, and where that slot was at a limited target nothing else was left. The new test failed before with 756.

--- a/core/src/main/kotlin/io/primroseflow/fleet/FleetScheduler.kt
+++ b/core/src/main/kotlin/io/primroseflow/fleet/FleetScheduler.kt
@@ -106,8 +106,11 @@
      *
      * @return whether any rate has changed
      */
-    public fun updateRates(reported: Map<TargetId, StatedRate>, now: Instant): Boolean =
-        pacing.record(reported, now)
+    public fun updateRates(reported: Map<TargetId, StatedRate>, now: Instant): Boolean {
+        val hasChanged = pacing.record(reported, now)
+        if (hasChanged && share.hosts > 1) applyTargets()
+        return hasChanged
+    }
 
     /** Digest of the rates in force, see [HostRates.digest]. */
     public val rateDigest: Int get() = pacing.digest
@@ -415,12 +418,25 @@
             val state = stateOf(id)
             state.targets.kvCapacity = routedServices[id]?.kvTokens
             val listed = byService[id].orEmpty()
-            val added = state.targets.update(listed, share.slotsOf(listed, neededSlots[id] ?: 1))
+            val added = state.targets.update(listed, slotsOf(id, listed))
             for (target in added) countRunning(target)
         }
         pacing.retain(listedTargets.mapTo(HashSet()) { it.id })
     }
 
+    /**
+     * Returns the slots at the targets of [service] that this scheduler grants. A host on its own
+     * gets its share of the targets without a rate, and a slot of each other one for its turns.
+     */
+    private fun slotsOf(service: ServiceId, listed: List<FleetTarget>): Map<TargetId, Int> {
+        val needed = neededSlots[service] ?: 1
+        val (limited, others) = listed.partition { pacing.perSecondOrNull(it.id) != null }
+        if (share.hosts == 1 || limited.isEmpty() || others.none { !it.isLeaving }) {
+            return share.slotsOf(listed, needed)
+        }
+        return share.slotsOf(others, needed) + limited.associate { it.id to 1 }
+    }
+
     /** Adds the running requests of a [target] that were restored before it was listed. */
     private fun countRunning(target: TargetState) {
         running.values.filter { it.target == target.target.id }
--- a/core/src/test/kotlin/io/primroseflow/fleet/simulation/FleetSimulationTest.kt
+++ b/core/src/test/kotlin/io/primroseflow/fleet/simulation/FleetSimulationTest.kt
@@ -125,6 +125,16 @@
                 }
             }
 
+            // The share of a host on its own was one slot, often at a target whose rate was used up.
+            it("keeps hosts on their own from no request that the other targets have room for") {
+                val setup = SimulationSetup(seed = 3, hosts = 100, slots = 6, troubles = 0)
+                val result = FleetSimulation(setup).run {
+                    repeat(4) { stateRate(it, 4.0, 3.seconds) }
+                    cutAll(6.seconds, 14.seconds)
+                }
+                result.refused shouldBeLessThanOrEqual 0
+            }
+
             it("keeps others from being refused while they have room") {
                 val setup = SimulationSetup(seed = 3, troubles = 0, meanInterval = 8.milliseconds)
                 val result = FleetSimulation(setup).run { stateRate(0, 2.0, 2.seconds) }
