End the pacing of a target whose rate is no longer retained

Found by reading: after five minutes without a statement the rate was forgotten and its pacer was not. A target that had got no requests for that time stayed paced at its last rate for good, since an answer without a rate ends only one that is known. TargetConditionSchedulingTest "a rate that was not stated again" failed before (1 of 4 granted). The scheduler now drops such pacers at each tick.

--- a/core/src/main/kotlin/io/primroseflow/fleet/FleetScheduler.kt
+++ b/core/src/main/kotlin/io/primroseflow/fleet/FleetScheduler.kt
@@ -377,6 +377,7 @@
     public fun tick(now: Instant): List<SlotDecision> {
         val decisions = ArrayList<SlotDecision>()
         quotas.settleIfDue(now)
+        pacing.expire(now)
         decisions += review(now)
         for (service in services.values) {
             refuseLate(service, now, decisions)
--- a/core/src/main/kotlin/io/primroseflow/fleet/TargetPacing.kt
+++ b/core/src/main/kotlin/io/primroseflow/fleet/TargetPacing.kt
@@ -76,6 +76,16 @@
         pacers[target]?.onUnsent()
     }
 
+    /** Ends the pacing by rates that are no longer retained, and by those that ended a while ago. */
+    fun expire(now: Instant) {
+        if (pacers.isEmpty()) return
+        rates.current(now)
+        pacers.entries.removeIf { (target, pacer) ->
+            val hasReturned = pacer !is ReturnPacer || pacer.until <= now
+            rates.perSecondOrNull(target) == null && hasReturned
+        }
+    }
+
     /** Forgets the pacers of targets other than [known]. */
     fun retain(known: Set<TargetId>) {
         pacers.keys.retainAll { it in known || rates.perSecondOrNull(it) != null }
--- a/core/src/main/kotlin/io/primroseflow/limits/RatePacer.kt
+++ b/core/src/main/kotlin/io/primroseflow/limits/RatePacer.kt
@@ -141,9 +141,9 @@
  * Lets the work of a target return step by step after its rate has ended.
  *
  * @param interval time between two requests
- * @param until time at which the target is no longer paced
+ * @property until time at which the target is no longer paced
  */
-public class ReturnPacer(private val interval: Duration, private val until: Instant) :
+public class ReturnPacer(private val interval: Duration, public val until: Instant) :
     RatePacer() {
     private var lastAt = Instant.DISTANT_PAST
 
--- a/core/src/test/kotlin/io/primroseflow/fleet/TargetConditionSchedulingTest.kt
+++ b/core/src/test/kotlin/io/primroseflow/fleet/TargetConditionSchedulingTest.kt
@@ -27,6 +27,21 @@
 /** Scheduling by what targets have stated to the hosts about themselves. */
 class TargetConditionSchedulingTest :
     DescribeSpec({
+        // A target that got no requests for a while would have stayed paced for good.
+        describe("a rate that was not stated again for the time of its retention") {
+            it("no longer holds requests back") {
+                val scheduler = scheduler(fleetTarget("1", slots = 4))
+                val target = TargetId("1")
+                scheduler.updateRates(mapOf(target to StatedRate(0.0, start)), start)
+                val now = start + RATE_RETENTION + 1.seconds
+                scheduler.tick(now)
+                val requests = SlotRequests()
+                val granted = List(4) { requests.next(at = now) }
+                    .flatMap { scheduler.submit(it, now).granted() }
+                granted.size shouldBe 4
+            }
+        }
+
         describe("a target that one host reports as leaving") {
             it("gets no requests of any host") {
                 val scheduler = scheduler(fleetTarget("a", slots = 9), fleetTarget("b", slots = 9))
