--- a/review/standin/Replica.java
+++ b/review/standin/Replica.java
@@ -39,6 +39,7 @@
     final String id;
     final String address;
     final List<String> runs = Collections.synchronizedList(new ArrayList<>());
+    volatile int maxConnections = Integer.MAX_VALUE;
     private final Lab lab;
     private final ServerSocket server = new ServerSocket();
     private final Set<Socket> sockets = Collections.synchronizedSet(new HashSet<>());
@@ -59,6 +60,11 @@
     private void accept() throws IOException {
         while (true) {
             Socket socket = server.accept();
+            if (sockets.size() >= maxConnections) {
+                socket.setSoLinger(true, 0);
+                socket.close();
+                continue;
+            }
             sockets.add(socket);
             Lab.daemon(id + " connection", () -> serve(socket));
         }
