--- a/review/standin/LateRejection.java
+++ b/review/standin/LateRejection.java
@@ -3,6 +3,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.TreeMap;
+import java.util.concurrent.ConcurrentHashMap;
 
 /**
  * Two replicas of a booking service are full now and then: they reject a request and ask to come
@@ -21,6 +22,9 @@
     private static final double FAULTY_SECONDS = 5;
     private static final double SOUND_SECONDS = 1;
 
+    /** Requests that one of the replicas has rejected. */
+    private final Set<String> rejectedOnce = ConcurrentHashMap.newKeySet();
+
     private int answers;
     private int copies;
 
@@ -84,7 +88,9 @@
                     Replica.fieldsFor(head, false) + "X-Not-Executed: 1\r\nRetry-After: 0.2\r\n", "");
                 lab.note("reject", id + " at " + it.id);
                 connection.write(rejection);
-                if (isFaulty && isInFaultyTime && copies + 1 <= EXTRA_SHARE * answers) {
+                // The replica that rejects a request first is the first one whose rest ends.
+                boolean isFirst = rejectedOnce.add(id);
+                if (isFaulty && isFirst && isInFaultyTime && copies + 1 <= EXTRA_SHARE * answers) {
                     copies++;
                     connection.memo = rejection;
                 }
