--- a/review/standin/Lab.java
+++ b/review/standin/Lab.java
@@ -31,6 +31,9 @@
     static final String KEY = "key-of-team-one";
     static final String TEAM = "team-one";
 
+    /** Port of the metrics in the commands of the deploy file. */
+    private static final int METRICS_PORT = 9464;
+
     final boolean hasTrouble = !"0".equals(System.getenv("TROUBLE"));
     final Path folder;
     private final Path root;
@@ -150,6 +153,16 @@
             }
         }
 
+        boolean leads() {
+            try (Http client = new Http(ip, METRICS_PORT, 1_000)) {
+                Http.Answer page = client.exchange("GET", "/metrics", "metrics", "", "");
+                return page.body.lines()
+                    .anyMatch(it -> it.matches("[a-z_]*control_leader(\\{.*\\})? 1(\\.0)?"));
+            } catch (IOException e) {
+                return false;
+            }
+        }
+
         String log() throws IOException {
             return Files.readString(work.resolve(name + ".log"));
         }
@@ -316,6 +329,26 @@
         }
     }
 
+    /** Waits until one control host leads for a second, by the metrics of the hosts; returns its name. */
+    String awaitLeader() throws Exception {
+        String last = "";
+        double since = seconds();
+        while (seconds() < 30) {
+            String leader = "";
+            for (Machine machine : machines.values()) {
+                if (machine.isControl && machine.leads()) leader += machine.name;
+            }
+            if (!leader.equals(last)) since = seconds();
+            last = leader;
+            if (leader.length() == 2 && seconds() - since > 1) {
+                note("leader", leader);
+                return leader;
+            }
+            Thread.sleep(100);
+        }
+        throw new CannotRun("no leader");
+    }
+
     /** Sends a configuration to any control host until it is acknowledged. */
     void accept(String configuration) throws Exception {
         for (int i = 0; i < 60; i++) {
