--- a/review/standin/ForeignReply.java
+++ b/review/standin/ForeignReply.java
@@ -65,6 +65,7 @@
         }
         for (Thread change : changes) change.join(10_000);
 
+        lab.note("send", "version 5 to " + restarted.name + ", until it is answered with 200");
         boolean isAcknowledged = false;
         for (int i = 0; i < 400 && !isAcknowledged; i++) {
             int status = lab.put(restarted.name, configuration(5), 4_000);
--- a/review/standin/LargeBodies.java
+++ b/review/standin/LargeBodies.java
@@ -18,6 +18,9 @@
     private static final int BODIES_PER_CLIENT = 2;
     private static final int PIECES = 50;
 
+    /** Length of the burst; no body is begun that could not be sent within it. */
+    private static final int BURST_MILLIS = 6_000;
+
     /** Time in which each client sends its body; the limit of the configuration is 3 s. */
     private static final int BODY_MILLIS = 2_200;
 
@@ -59,17 +62,21 @@
         int uploading = lab.hasTrouble ? BURST_CLIENTS : USUAL_CLIENTS;
         lab.note("bodies", uploading + " clients send bodies of " + BODY_BYTES + " bytes");
         List<Thread> threads = new ArrayList<>();
+        long lastStart = System.nanoTime() + (BURST_MILLIS - BODY_MILLIS - 200) * 1_000_000L;
+        AtomicInteger sent = new AtomicInteger();
         AtomicInteger answered = new AtomicInteger();
         for (int i = 0; i < uploading; i++) {
             int number = i;
             threads.add(Lab.daemon("body", () -> {
                 for (int round = 0; round < BODIES_PER_CLIENT; round++) {
+                    if (System.nanoTime() > lastStart) return;
+                    sent.incrementAndGet();
                     if (upload(entry, "body-" + number + "-" + round)) answered.incrementAndGet();
                 }
             }));
         }
         for (Thread thread : threads) thread.join(12_000);
-        lab.note("bodies", answered + " of " + uploading * BODIES_PER_CLIENT + " answered with 200");
+        lab.note("bodies", answered + " of " + sent + " answered with 200");
         Thread.sleep(QUIET_MILLIS);
 
         AtomicInteger unanswered = new AtomicInteger();
@@ -120,7 +127,7 @@
         return answer.status;
     }
 
-    private static boolean upload(Lab.Machine entry, String id) throws Exception {
+    static boolean upload(Lab.Machine entry, String id) throws Exception {
         byte[] piece = new byte[BODY_BYTES / PIECES];
         try (Http client = new Http(entry.ip, entry.callerPort(), 4_000)) {
             String head = "POST /plan/upload HTTP/1.1\r\nHost: " + Lab.HOST + "\r\n" +
--- a/review/standin/LateRejection.java
+++ b/review/standin/LateRejection.java
@@ -6,7 +6,7 @@
 import java.util.concurrent.ConcurrentHashMap;
 
 /**
- * Two replicas of a booking service are full now and then: they reject a request and ask to come
+ * Two replicas of a booking service are full for 5 s at a time, for one request in twelve: they reject it and ask to come
  * again after 0.2 s. One of them is faulty for 5 s at a time: it sends a few of its answers a second
  * time, late, where the next answer on that connection is expected.
  */
@@ -81,9 +81,9 @@
                 connection.write((byte[]) connection.memo);
             }
             connection.memo = null;
-            if (isFaulty) answers++;
+            if (isFaulty && isInFaultyTime) answers++;
             boolean isFull = Integer.parseInt(id.substring(1)) % FULL_EVERY == 0;
-            if (isFull && rejected.add(id)) {
+            if (isFull && isInFaultyTime && rejected.add(id)) {
                 byte[] rejection = Http.answer("503 Service Unavailable",
                     Replica.fieldsFor(head, false) + "X-Not-Executed: 1\r\nRetry-After: 0.2\r\n", "");
                 lab.note("reject", id + " at " + it.id);
--- a/review/standin/StrayBytes.java
+++ b/review/standin/StrayBytes.java
@@ -83,7 +83,7 @@
         return new Replica(lab, number, "i-" + number, "desk", SLOTS, (it, connection, head, body) -> {
             boolean isInFaultyTime = isFaulty &&
                 lab.seconds() % (FAULTY_SECONDS + SOUND_SECONDS) < FAULTY_SECONDS;
-            if (isFaulty) answers.incrementAndGet();
+            if (isInFaultyTime) answers.incrementAndGet();
             if (isInFaultyTime && connection.requests > 1 &&
                 extras.get() + 1 <= EXTRA_SHARE * answers.get()
             ) {
