--- a/review/standin/LargeBodies.java
+++ b/review/standin/LargeBodies.java
@@ -4,16 +4,16 @@
 import java.util.concurrent.atomic.AtomicInteger;
 
 /**
- * Clients send bodies of 300 kB, well below the limit of the configuration, at the pace of a link
- * that is half used. In a burst, 2.4 times as many do so at once. When the burst has been over for
- * some time, clients with kept connections send short requests.
+ * Clients send bodies of 135 kB, well below the limit of the configuration, at a third of the rate
+ * of the link. In a burst, 2.4 times as many do so at once. When the burst has been over for some
+ * time, clients with kept connections send short requests.
  */
 final class LargeBodies {
-    private static final int BODY_BYTES = 300_000;
+    private static final int BODY_BYTES = 135_000;
 
     /** Clients that send a body at the same time, without and with the burst. */
-    private static final int USUAL_CLIENTS = 180;
-    private static final int BURST_CLIENTS = 432;
+    private static final int USUAL_CLIENTS = 300;
+    private static final int BURST_CLIENTS = 720;
 
     private static final int BODIES_PER_CLIENT = 2;
     private static final int PIECES = 50;
@@ -22,7 +22,7 @@
     private static final int BURST_MILLIS = 6_000;
 
     /** Time in which each client sends its body; the limit of the configuration is 3 s. */
-    private static final int BODY_MILLIS = 2_200;
+    private static final int BODY_MILLIS = 2_500;
 
     private static final int SHORT_CLIENTS = 20;
     private static final int SHORT_REQUESTS = 5;
--- a/review/standin/LateRejection.java
+++ b/review/standin/LateRejection.java
@@ -6,9 +6,9 @@
 import java.util.concurrent.ConcurrentHashMap;
 
 /**
- * Two replicas of a booking service are full for 5 s at a time, for one request in twelve: they reject it and ask to come
- * again after 0.2 s. One of them is faulty for 5 s at a time: it sends a few of its answers a second
- * time, late, where the next answer on that connection is expected.
+ * Two replicas of a booking service are full for 5 s at a time, for one request in twelve: they
+ * reject it and ask to come again after 0.2 s. One of them is faulty for 5 s at a time: it sends a
+ * few of its answers a second time, late, where the next answer on that connection is expected.
  */
 final class LateRejection {
     private static final int REQUESTS = 400;
