--- a/review/standin/ForeignReply.java
+++ b/review/standin/ForeignReply.java
@@ -11,6 +11,9 @@
     /** Time for which one control host is down. */
     private static final int DOWN_MILLIS = 3_400;
 
+    /** Pause of the operator before a call without a clear answer is sent again. */
+    private static final int RESEND_MILLIS = 500;
+
     public static void main(String[] arguments) {
         Lab.main(arguments[0], ForeignReply::play);
     }
@@ -49,11 +52,17 @@
             Thread.sleep(400);
             leading.signal("STOP");
         }
-        // Three changes are in progress at one host, one after the other.
+        // Three changes are in progress at one host. A change without a clear answer is sent again.
         List<Thread> changes = new ArrayList<>();
         for (long version = 2; version <= 4; version++) {
             long sent = version;
-            changes.add(Lab.daemon("operator", () -> put(lab, restarted.name, sent)));
+            changes.add(Lab.daemon("operator", () -> {
+                String machine = restarted.name;
+                while (put(lab, machine, sent) != 200) {
+                    Thread.sleep(RESEND_MILLIS);
+                    machine = leading.name;
+                }
+            }));
             Thread.sleep(30);
         }
         if (lab.hasTrouble) {
@@ -63,7 +72,6 @@
             Thread.sleep(500);
             restarted.start(false);
         }
-        for (Thread change : changes) change.join(10_000);
 
         lab.note("send", "version 5 to " + restarted.name + ", until it is answered with 200");
         boolean isAcknowledged = false;
@@ -74,6 +82,7 @@
             if (status != 0) lab.note("answer", "to version 5 from " + restarted.name + ": " + status);
             Thread.sleep(25);
         }
+        for (Thread change : changes) change.join(20_000);
         // More than recoveryS after all machines are back.
         Thread.sleep(DOWN_MILLIS + 13_000);
         long newest = 0;
--- a/review/standin/LargeBodies.java
+++ b/review/standin/LargeBodies.java
@@ -2,18 +2,19 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicLong;
 
 /**
- * Clients send bodies of 135 kB, well below the limit of the configuration, at a third of the rate
+ * Clients send bodies of 72 kB, far below the limit of the configuration, at a quarter of the rate
  * of the link. In a burst, 2.4 times as many do so at once. When the burst has been over for some
  * time, clients with kept connections send short requests.
  */
 final class LargeBodies {
-    private static final int BODY_BYTES = 135_000;
+    private static final int BODY_BYTES = 72_000;
 
     /** Clients that send a body at the same time, without and with the burst. */
-    private static final int USUAL_CLIENTS = 300;
-    private static final int BURST_CLIENTS = 720;
+    private static final int USUAL_CLIENTS = 480;
+    private static final int BURST_CLIENTS = 1_152;
 
     private static final int BODIES_PER_CLIENT = 2;
     private static final int PIECES = 50;
@@ -31,6 +32,9 @@
     /** Longer than the 5 s of a choked link and contactMs of 3 s. */
     private static final int QUIET_MILLIS = 10_000;
 
+    private static final AtomicLong LONGEST_SEND = new AtomicLong();
+    private static final AtomicLong LAST_SENT = new AtomicLong();
+
     public static void main(String[] arguments) {
         Lab.main(arguments[0], LargeBodies::play);
     }
@@ -62,7 +66,8 @@
         int uploading = lab.hasTrouble ? BURST_CLIENTS : USUAL_CLIENTS;
         lab.note("bodies", uploading + " clients send bodies of " + BODY_BYTES + " bytes");
         List<Thread> threads = new ArrayList<>();
-        long lastStart = System.nanoTime() + (BURST_MILLIS - BODY_MILLIS - 200) * 1_000_000L;
+        long begin = System.nanoTime();
+        long lastStart = begin + (BURST_MILLIS - BODY_MILLIS - 200) * 1_000_000L;
         AtomicInteger sent = new AtomicInteger();
         AtomicInteger answered = new AtomicInteger();
         for (int i = 0; i < uploading; i++) {
@@ -77,6 +82,8 @@
         }
         for (Thread thread : threads) thread.join(12_000);
         lab.note("bodies", answered + " of " + sent + " answered with 200");
+        lab.note("bodies", "sent within " + (LAST_SENT.get() - begin) / 1_000_000 +
+            " ms, each within " + LONGEST_SEND.get() + " ms");
         Thread.sleep(QUIET_MILLIS);
 
         AtomicInteger unanswered = new AtomicInteger();
@@ -127,7 +134,9 @@
         return answer.status;
     }
 
-    static boolean upload(Lab.Machine entry, String id) throws Exception {
+    /** Sends one body; keeps the time that this took and the time of the last byte. */
+    private static boolean upload(Lab.Machine entry, String id) throws Exception {
+        long start = System.nanoTime();
         byte[] piece = new byte[BODY_BYTES / PIECES];
         try (Http client = new Http(entry.ip, entry.callerPort(), 4_000)) {
             String head = "POST /plan/upload HTTP/1.1\r\nHost: " + Lab.HOST + "\r\n" +
@@ -136,8 +145,11 @@
             for (int i = 0; i < PIECES; i++) {
                 client.out.write(piece);
                 client.out.flush();
-                Thread.sleep(BODY_MILLIS / PIECES);
+                if (i < PIECES - 1) Thread.sleep(BODY_MILLIS / PIECES);
             }
+            long end = System.nanoTime();
+            LONGEST_SEND.accumulateAndGet((end - start) / 1_000_000, Math::max);
+            LAST_SENT.accumulateAndGet(end, Math::max);
             return client.readAnswer().status == 200;
         } catch (IOException e) {
             return false;
--- a/review/standin/LateRejection.java
+++ b/review/standin/LateRejection.java
@@ -6,12 +6,12 @@
 import java.util.concurrent.ConcurrentHashMap;
 
 /**
- * Two replicas of a booking service are full for 5 s at a time, for one request in twelve: they
+ * Two replicas of a booking service are full for 4 s at a time, for one request in twelve: they
  * reject it and ask to come again after 0.2 s. One of them is faulty for 5 s at a time: it sends a
  * few of its answers a second time, late, where the next answer on that connection is expected.
  */
 final class LateRejection {
-    private static final int REQUESTS = 400;
+    private static final int REQUESTS = 1_000;
 
     /** One request in twelve comes while both replicas are full. */
     private static final int FULL_EVERY = 12;
@@ -21,6 +21,7 @@
 
     private static final double FAULTY_SECONDS = 5;
     private static final double SOUND_SECONDS = 1;
+    private static final double FULL_SECONDS = 4;
 
     /** Requests that one of the replicas has rejected. */
     private final Set<String> rejectedOnce = ConcurrentHashMap.newKeySet();
@@ -74,16 +75,17 @@
         Set<String> rejected = new HashSet<>();
         return new Replica(lab, number, "i-" + number, "desk", 6, (it, connection, head, body) -> {
             String id = Http.field(head, "X-Request-Id");
-            boolean isInFaultyTime =
-                lab.seconds() % (FAULTY_SECONDS + SOUND_SECONDS) < FAULTY_SECONDS;
+            double phase = lab.seconds() % (FAULTY_SECONDS + SOUND_SECONDS);
+            boolean isInFaultyTime = phase < FAULTY_SECONDS;
             if (connection.memo != null && isInFaultyTime) {
                 lab.note("second copy", "at " + it.id + " while " + id + " waits for its answer");
                 connection.write((byte[]) connection.memo);
             }
             connection.memo = null;
             if (isFaulty && isInFaultyTime) answers++;
-            boolean isFull = Integer.parseInt(id.substring(1)) % FULL_EVERY == 0;
-            if (isFull && isInFaultyTime && rejected.add(id)) {
+            boolean isFull =
+                phase < FULL_SECONDS && Integer.parseInt(id.substring(1)) % FULL_EVERY == 0;
+            if (isFull && rejected.add(id)) {
                 byte[] rejection = Http.answer("503 Service Unavailable",
                     Replica.fieldsFor(head, false) + "X-Not-Executed: 1\r\nRetry-After: 0.2\r\n", "");
                 lab.note("reject", id + " at " + it.id);
