Match a reply to the process and machine of its call, and acknowledge no lower revision

Cause: calls were numbered from 1 in each process and a reply was matched by the number alone. Links lead to a host, so replies to the killed process reached its successor, which took one for the reply to its own call. The order then counted as accepted although the reply named a lower revision.

Fix: a process counts its calls from a random number of 62 bits, a reply must come from the machine that was asked, and an order is acknowledged only by its own revision or a later one. The same ids serve the questions about owners and outcomes of requests, and the question of a replica with an empty disk, whose answers carried no id at all.

--- a/daemon/src/main/kotlin/io/primroseflow/daemon/Daemon.kt
+++ b/daemon/src/main/kotlin/io/primroseflow/daemon/Daemon.kt
@@ -130,7 +130,8 @@
         hosts = { allHosts },
         directory = directory,
         registry = registry,
-        send = ::sendToPeer
+        send = ::sendToPeer,
+        random = inputs.random
     )
     private val controlPlane: ControlPlane = ControlPlane(
         settings = settings,
--- a/daemon/src/main/kotlin/io/primroseflow/daemon/control/ControlClient.kt
+++ b/daemon/src/main/kotlin/io/primroseflow/daemon/control/ControlClient.kt
@@ -1,18 +1,21 @@
 package io.primroseflow.daemon.control
 
 import io.primroseflow.daemon.peer.CallId
+import io.primroseflow.daemon.peer.CallIds
 import io.primroseflow.daemon.peer.ControlQuery
 import io.primroseflow.daemon.peer.ControlReply
 import io.primroseflow.daemon.peer.PeerMessage
+import io.primroseflow.daemon.peer.machine
 import io.primroseflow.model.HostId
 import java.util.concurrent.ConcurrentHashMap
-import java.util.concurrent.atomic.AtomicLong
+import kotlin.random.Random
 import kotlin.time.Clock
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.withTimeoutOrNull
+import org.apache.logging.log4j.LogManager
 
 /** Time to wait for the reply of one replica before trying another. */
 private val ATTEMPT_TIMEOUT: Duration = 700.milliseconds
@@ -27,14 +30,21 @@
  * control state are.
  *
  * @param send sends a message to a host; the message may be lost
+ * @param random must differ from that of every former process of this host
  */
 internal class ControlClient(
     private val clock: Clock,
     private val send: (HostId, PeerMessage) -> Unit,
-    replicas: List<HostId>
+    replicas: List<HostId>,
+    random: Random
 ) {
-    private val calls = ConcurrentHashMap<CallId, CompletableDeferred<ControlReply>>()
-    private val lastCall = AtomicLong()
+    private class PendingCall(val to: HostId) {
+        val answer = CompletableDeferred<ControlReply>()
+    }
+
+    private val log = LogManager.getLogger(ControlClient::class.java)
+    private val calls = ConcurrentHashMap<CallId, PendingCall>()
+    private val ids = CallIds(random)
 
     @Volatile
     private var leader: HostId? = null
@@ -43,9 +53,17 @@
     @Volatile
     var replicas: List<HostId> = replicas
 
-    /** Completes [call] with [reply]. Does nothing if nobody waits for the reply any more. */
-    fun complete(call: CallId, reply: ControlReply) {
-        calls.remove(call)?.complete(reply)
+    /**
+     * Completes [call] with the [reply] of host [from]. Ignores a reply to a call that has ended,
+     * that this process has not made, or that was sent to another machine.
+     */
+    fun complete(from: HostId, call: CallId, reply: ControlReply) {
+        val pending = calls[call]
+        if (pending == null || pending.to.machine() != from.machine()) {
+            log.debug("ignored the reply of {} to {}, which does not wait for it", from, call)
+            return
+        }
+        pending.answer.complete(reply)
     }
 
     /**
@@ -81,12 +99,12 @@
     }
 
     private suspend fun attempt(to: HostId, query: ControlQuery, timeout: Duration): ControlReply? {
-        val call = CallId(lastCall.incrementAndGet())
-        val answer = CompletableDeferred<ControlReply>()
-        calls[call] = answer
+        val call = ids.next()
+        val pending = PendingCall(to)
+        calls[call] = pending
         try {
             send(to, PeerMessage.ControlCall(call, query))
-            return withTimeoutOrNull(timeout) { answer.await() }
+            return withTimeoutOrNull(timeout) { pending.answer.await() }
         } finally {
             calls -= call
         }
--- a/daemon/src/main/kotlin/io/primroseflow/daemon/control/ControlHost.kt
+++ b/daemon/src/main/kotlin/io/primroseflow/daemon/control/ControlHost.kt
@@ -7,7 +7,6 @@
 import io.primroseflow.consensus.ReplicaMessage
 import io.primroseflow.consensus.ReplicaRole
 import io.primroseflow.control.AcceptedPolicy
-import io.primroseflow.control.ControlAnswer
 import io.primroseflow.control.ControlCommand
 import io.primroseflow.control.PolicyRevision
 import io.primroseflow.daemon.EventLog
@@ -23,6 +22,7 @@
 import io.primroseflow.daemon.fleet.TargetDirectory
 import io.primroseflow.daemon.fleet.documentSource
 import io.primroseflow.daemon.operator.MetricPage
+import io.primroseflow.daemon.peer.CallId
 import io.primroseflow.daemon.peer.ControlQuery
 import io.primroseflow.daemon.peer.ControlReply
 import io.primroseflow.daemon.peer.PeerLinks
@@ -173,15 +173,14 @@
             source = documentSource(text)
         )
         val reply = client.askOrNull(ControlQuery.Apply(command), POLICY_TIMEOUT)
-        val answer = (reply as? ControlReply.Answered)?.answer as? ControlAnswer.PolicyAccepted
+        val result = policyUpdateResult(revision, reply)
         log.info(
             "policy_order",
             "revision" to revision,
-            "in_force" to answer?.revision,
-            "known" to (answer != null)
+            "in_force" to (result as? PolicyUpdateResult.Accepted)?.revision,
+            "known" to (result is PolicyUpdateResult.Accepted)
         )
-        return answer?.let { PolicyUpdateResult.Accepted(it.revision.number) }
-            ?: PolicyUpdateResult.Unknown
+        return result
     }
 
     private suspend fun runAs(
@@ -230,7 +229,7 @@
             random = random,
             planner = planner
         )
-        val client: ControlClient = ControlClient(clock, links::send, seedHosts())
+        val client: ControlClient = ControlClient(clock, links::send, seedHosts(), random)
         val scheduler: SharedScheduler =
             SharedScheduler(
                 this,
@@ -308,16 +307,17 @@
                     links.send(from, PeerMessage.ControlReturn(message.call, it))
                 }
 
-                is PeerMessage.ControlReturn -> client.complete(message.call, message.reply)
+                is PeerMessage.ControlReturn ->
+                    client.complete(from, message.call, message.reply)
 
                 is PeerMessage.Scheduling -> scheduler.handle(from, message)
 
                 PeerMessage.JoinRequest -> replica.onJoinRequest(from)
 
-                PeerMessage.HistoryQuestion ->
-                    links.send(from, PeerMessage.HistoryAnswer(hasHistory()))
+                is PeerMessage.HistoryQuestion ->
+                    links.send(from, PeerMessage.HistoryAnswer(hasHistory(), message.call))
 
-                is PeerMessage.HistoryAnswer -> replica.onHistoryAnswer(from, message.hasHistory)
+                is PeerMessage.HistoryAnswer -> replica.onHistoryAnswer(from, message)
 
                 is PeerMessage.PolicyPull -> policy.accepted?.let {
                     if (it.head.revision > message.known) {
@@ -339,7 +339,8 @@
             override fun send(to: HostId, message: ReplicaMessage) =
                 links.send(to, PeerMessage.Replication(message))
 
-            override fun askForHistory(to: HostId) = links.send(to, PeerMessage.HistoryQuestion)
+            override fun askForHistory(to: HostId, call: CallId) =
+                links.send(to, PeerMessage.HistoryQuestion(call))
 
             override fun onPolicy(policy: AcceptedPolicy) {
                 this@ControlHost.policy.offer(policy)
--- a/daemon/src/main/kotlin/io/primroseflow/daemon/control/ControlPlane.kt
+++ b/daemon/src/main/kotlin/io/primroseflow/daemon/control/ControlPlane.kt
@@ -5,6 +5,7 @@
 import io.primroseflow.control.AcceptedPolicy
 import io.primroseflow.control.PolicyRevision
 import io.primroseflow.daemon.DaemonSettings
+import io.primroseflow.daemon.peer.CallId
 import io.primroseflow.daemon.peer.ControlQuery
 import io.primroseflow.daemon.peer.ControlReply
 import io.primroseflow.daemon.peer.PeerLinks
@@ -73,7 +74,8 @@
     )
 
     /** Sends queries to the control group. */
-    val client: ControlClient = ControlClient(clock, links::send, settings.replicas)
+    val client: ControlClient =
+        ControlClient(clock, links::send, settings.replicas, random)
 
     /** Counters of the traffic with other hosts. */
     val traffic get() = links.traffic
@@ -140,7 +142,7 @@
 
             is PeerMessage.ControlCall -> answerCall(from, message)
 
-            is PeerMessage.ControlReturn -> client.complete(message.call, message.reply)
+            is PeerMessage.ControlReturn -> client.complete(from, message.call, message.reply)
 
             is PeerMessage.Gossip -> gossip.onGossip(from, message.states)
 
@@ -150,10 +152,10 @@
 
             is PeerMessage.AboutRequest -> onRequestMessage(from, message)
 
-            PeerMessage.HistoryQuestion ->
-                links.send(from, PeerMessage.HistoryAnswer(hasHistory()))
+            is PeerMessage.HistoryQuestion ->
+                links.send(from, PeerMessage.HistoryAnswer(hasHistory(), message.call))
 
-            is PeerMessage.HistoryAnswer -> replica?.onHistoryAnswer(from, message.hasHistory)
+            is PeerMessage.HistoryAnswer -> replica?.onHistoryAnswer(from, message)
 
             // Hosts with fixed peers neither use a shared scheduler nor accept join requests.
             is PeerMessage.Scheduling, PeerMessage.JoinRequest ->
@@ -198,7 +200,8 @@
         override fun send(to: HostId, message: ReplicaMessage) =
             links.send(to, PeerMessage.Replication(message))
 
-        override fun askForHistory(to: HostId) = links.send(to, PeerMessage.HistoryQuestion)
+        override fun askForHistory(to: HostId, call: CallId) =
+            links.send(to, PeerMessage.HistoryQuestion(call))
 
         override fun onPolicy(policy: AcceptedPolicy) = this@ControlPlane.policy.offer(policy)
     }
--- a/daemon/src/main/kotlin/io/primroseflow/daemon/control/PolicyOperations.kt
+++ b/daemon/src/main/kotlin/io/primroseflow/daemon/control/PolicyOperations.kt
@@ -1,6 +1,9 @@
 package io.primroseflow.daemon.control
 
+import io.primroseflow.control.ControlAnswer
+import io.primroseflow.control.PolicyRevision
 import io.primroseflow.daemon.fleet.DocumentFault
+import io.primroseflow.daemon.peer.ControlReply
 
 /** The result of putting a policy in force. */
 public sealed interface PolicyUpdateResult {
@@ -18,6 +21,22 @@
     public data object Unknown : PolicyUpdateResult
 }
 
+/**
+ * Returns the result of raising the policy to [revision] that follows from the [reply] of the
+ * control group, `null` if there was none.
+ *
+ * The control group accepts an order by naming the revision in force, which the order has made at
+ * least its own. A lower one acknowledges nothing, as no replica is then known to store the order.
+ */
+internal fun policyUpdateResult(
+    revision: PolicyRevision,
+    reply: ControlReply?
+): PolicyUpdateResult {
+    val answer = (reply as? ControlReply.Answered)?.answer as? ControlAnswer.PolicyAccepted
+    if (answer == null || answer.revision < revision) return PolicyUpdateResult.Unknown
+    return PolicyUpdateResult.Accepted(answer.revision.number)
+}
+
 /** The result of reading the latest policy. */
 public sealed interface PolicyReadResult {
     /**
--- a/daemon/src/main/kotlin/io/primroseflow/daemon/control/ReplicaTask.kt
+++ b/daemon/src/main/kotlin/io/primroseflow/daemon/control/ReplicaTask.kt
@@ -24,9 +24,12 @@
 import io.primroseflow.control.ControlState
 import io.primroseflow.control.decodeCommand
 import io.primroseflow.control.encodeCommand
+import io.primroseflow.daemon.peer.CallId
+import io.primroseflow.daemon.peer.CallIds
 import io.primroseflow.daemon.peer.ControlQuery
 import io.primroseflow.daemon.peer.ControlReply
 import io.primroseflow.daemon.peer.GroupChange
+import io.primroseflow.daemon.peer.PeerMessage
 import io.primroseflow.daemon.peer.machine
 import io.primroseflow.daemon.storage.ReplicaStorage
 import io.primroseflow.model.HostId
@@ -48,7 +51,8 @@
     class FromPeer(val from: HostId, val message: ReplicaMessage) : ReplicaTaskMessage
     class Query(val query: ControlQuery, val onReply: (ControlReply) -> Unit) : ReplicaTaskMessage
     data object TransferLeadership : ReplicaTaskMessage
-    class HistoryAnswer(val from: HostId, val hasHistory: Boolean) : ReplicaTaskMessage
+    class HistoryAnswer(val from: HostId, val answer: PeerMessage.HistoryAnswer) :
+        ReplicaTaskMessage
     class JoinRequest(val joiner: Joiner) : ReplicaTaskMessage
 }
 
@@ -109,8 +113,8 @@
     /** Sends [message] to the replica [to]. The message may be lost. */
     fun send(to: HostId, message: ReplicaMessage)
 
-    /** Asks the replica [to] whether it has any history. */
-    fun askForHistory(to: HostId)
+    /** Asks the replica [to] whether it has any history; it repeats [call] in its answer. */
+    fun askForHistory(to: HostId, call: CallId)
 
     /** Called when [policy] has become the latest one. */
     fun onPolicy(policy: AcceptedPolicy)
@@ -133,7 +137,7 @@
     private val storage: ReplicaStorage,
     private val clock: Clock,
     private val listener: ReplicaListener,
-    random: Random,
+    private val random: Random,
     private val planner: MembershipPlanner? = null
 ) {
     private class PendingCommand(val term: Term, val onReply: (ControlReply) -> Unit)
@@ -180,8 +184,8 @@
     }
 
     /** Enqueues the answer of the replica [from] whether it has any history. */
-    fun onHistoryAnswer(from: HostId, hasHistory: Boolean) {
-        mailbox.trySend(ReplicaTaskMessage.HistoryAnswer(from, hasHistory))
+    fun onHistoryAnswer(from: HostId, answer: PeerMessage.HistoryAnswer) {
+        mailbox.trySend(ReplicaTaskMessage.HistoryAnswer(from, answer))
     }
 
     /** Enqueues a request of the replica [from] to join the group. */
@@ -227,12 +231,18 @@
     private suspend fun confirmNeverVoted(): Boolean {
         val others = initialMembership.voters - self
         val withoutHistory = HashSet<HostId>()
+        // An answer to a former process may date from before the group had any history.
+        val call = CallIds(random).next()
         while (self in initialMembership.voters && !withoutHistory.containsAll(others)) {
-            others.forEach(listener::askForHistory)
+            others.forEach { listener.askForHistory(it, call) }
             val answer = withTimeoutOrNull(HISTORY_QUERY_INTERVAL) { mailbox.receive() }
             if (answer is ReplicaTaskMessage.Query) answer.onReply(ControlReply.NotLeader(null))
-            if (answer !is ReplicaTaskMessage.HistoryAnswer) continue
-            if (!answer.hasHistory) withoutHistory += answer.from else reportDiskLoss(answer.from)
+            if (answer !is ReplicaTaskMessage.HistoryAnswer || answer.answer.call != call) continue
+            if (answer.answer.hasHistory) {
+                reportDiskLoss(answer.from)
+            } else {
+                withoutHistory += answer.from
+            }
             if (isDiskLost && planner != null) return false
         }
         // The others must learn that this replica has no history before it can have any.
--- a/daemon/src/main/kotlin/io/primroseflow/daemon/peer/PeerMessages.kt
+++ b/daemon/src/main/kotlin/io/primroseflow/daemon/peer/PeerMessages.kt
@@ -27,7 +27,7 @@
 /** The version of the protocol between hosts. */
 internal const val PROTOCOL_VERSION: Int = 1
 
-/** Identifies a call among all calls of the host that makes it. */
+/** Identifies a call among all calls of a host, whichever of its processes makes them. */
 @JvmInline
 @Serializable
 internal value class CallId(val number: Long)
@@ -200,12 +200,12 @@
     /** Asks whether the receiver's control replica has any history. */
     @Serializable
     @SerialName("new")
-    data object HistoryQuestion : PeerMessage
+    data class HistoryQuestion(val call: CallId? = null) : PeerMessage
 
-    /** Answers a [HistoryQuestion]. */
+    /** Answers the [HistoryQuestion] with the same [call]. */
     @Serializable
     @SerialName("old")
-    data class HistoryAnswer(val hasHistory: Boolean) : PeerMessage
+    data class HistoryAnswer(val hasHistory: Boolean, val call: CallId? = null) : PeerMessage
 
     /** A message between an entry host and the shared scheduler. */
     @Serializable
--- a/daemon/src/main/kotlin/io/primroseflow/daemon/request/RemoteRequests.kt
+++ b/daemon/src/main/kotlin/io/primroseflow/daemon/request/RemoteRequests.kt
@@ -2,6 +2,7 @@
 
 import io.primroseflow.consensus.CommandBytes
 import io.primroseflow.daemon.peer.CallId
+import io.primroseflow.daemon.peer.CallIds
 import io.primroseflow.daemon.peer.PeerMessage
 import io.primroseflow.daemon.peer.RequestReport
 import io.primroseflow.model.CallerId
@@ -9,7 +10,7 @@
 import io.primroseflow.request.Outcome
 import io.primroseflow.scheduling.Ticket
 import java.util.concurrent.ConcurrentHashMap
-import java.util.concurrent.atomic.AtomicLong
+import kotlin.random.Random
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
@@ -30,17 +31,19 @@
  * Asks other hosts about requests that they own, and answers their questions.
  *
  * @param hosts all hosts, including this one
+ * @param random must differ from that of every former process of this host
  */
 internal class RemoteRequests(
     private val self: HostId,
     private val hosts: () -> Collection<HostId>,
     private val directory: RequestDirectory,
     private val registry: OutcomeRegistry,
-    private val send: (HostId, PeerMessage) -> Unit
+    private val send: (HostId, PeerMessage) -> Unit,
+    random: Random
 ) {
     private val ownerQueries = ConcurrentHashMap<CallId, CompletableDeferred<HostId?>>()
     private val reportQueries = ConcurrentHashMap<CallId, CompletableDeferred<RequestReport>>()
-    private val lastCall = AtomicLong()
+    private val ids = CallIds(random)
 
     /**
      * Returns the host that owns [ticket]; if there is none, this host becomes the owner.
@@ -65,7 +68,7 @@
 
     /** Returns the report of [owner] on [ticket] of [caller], or `null` if it does not answer. */
     suspend fun reportOrNull(owner: HostId, ticket: Ticket, caller: CallerId): RequestReport? {
-        val call = CallId(lastCall.incrementAndGet())
+        val call = ids.next()
         val answer = CompletableDeferred<RequestReport>()
         reportQueries[call] = answer
         try {
@@ -111,7 +114,7 @@
         homesOf(ticket, hosts()).firstNotNullOfOrNull { queryHome(it, ticket, isClaiming) }
 
     private suspend fun queryHome(home: HostId, ticket: Ticket, isClaiming: Boolean): HostId? {
-        val call = CallId(lastCall.incrementAndGet())
+        val call = ids.next()
         val answer = CompletableDeferred<HostId?>()
         ownerQueries[call] = answer
         try {
@@ -124,7 +127,7 @@
 
     /** Registers this host as the owner of [ticket] at the last home host; ignores the answer. */
     private fun registerAtLastHome(ticket: Ticket) {
-        val call = CallId(lastCall.incrementAndGet())
+        val call = ids.next()
         val claim = PeerMessage.OwnerQuestion(call, ticket.team, ticket.request, isClaiming = true)
         send(homesOf(ticket, hosts()).last(), claim)
     }
