Count tickets and reports of an entry host from a random number in each process

A grant that the shared scheduler made to the former process of a restarted entry host could be used for a request of the next one, also at a target of another service, and the confirmation of the former process's report could renew the lease on the policy.

Cause: both numbers began at 1 in each process and were guarded by the term of the scheduler alone, which a restart of an entry host does not change.

--- a/daemon/src/main/kotlin/io/primroseflow/daemon/HostProcesses.kt
+++ b/daemon/src/main/kotlin/io/primroseflow/daemon/HostProcesses.kt
@@ -111,6 +111,7 @@
         directory = platform.directory(context.fetcher),
         clock = context.clock,
         wallClock = Clock.System,
+        random = Random.Default,
         log = context.log
     )
     context.run { host.start() }
--- a/daemon/src/main/kotlin/io/primroseflow/daemon/StartupRehearsal.kt
+++ b/daemon/src/main/kotlin/io/primroseflow/daemon/StartupRehearsal.kt
@@ -98,6 +98,7 @@
             directory = directory,
             clock = clock,
             wallClock = Clock.System,
+            random = Random.Default,
             log = context.log
         )
         val isReady = context.run {
--- a/daemon/src/main/kotlin/io/primroseflow/daemon/entry/EntryHost.kt
+++ b/daemon/src/main/kotlin/io/primroseflow/daemon/entry/EntryHost.kt
@@ -26,6 +26,7 @@
 import io.primroseflow.model.HostId
 import io.primroseflow.routing.RoutedPolicy
 import io.primroseflow.timeline.HybridClock
+import kotlin.random.Random
 import kotlin.time.Clock
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
@@ -93,6 +94,7 @@
     directory: TargetDirectory,
     private val clock: Clock,
     wallClock: Clock,
+    random: Random,
     private val log: EventLog
 ) {
     private val self = HostId(settings.address)
@@ -109,6 +111,7 @@
         clock,
         log,
         rates,
+        random,
         conditions = { conditions.current }
     )
     private val policy = RoutedPolicyInForce(decoder, log, ::onPolicy)
@@ -131,7 +134,8 @@
         clock = clock,
         log = log,
         send = links::send,
-        listener = LinkListener()
+        listener = LinkListener(),
+        random = random
     )
     private val relayContext = RelayContext(
         clock = clock,
--- a/daemon/src/main/kotlin/io/primroseflow/daemon/entry/SchedulerLink.kt
+++ b/daemon/src/main/kotlin/io/primroseflow/daemon/entry/SchedulerLink.kt
@@ -8,11 +8,13 @@
 import io.primroseflow.daemon.peer.RateReport
 import io.primroseflow.daemon.peer.SlotRequestRecord
 import io.primroseflow.daemon.peer.TargetConditionRecord
+import io.primroseflow.daemon.peer.firstNumberOfProcess
 import io.primroseflow.daemon.peer.machine
 import io.primroseflow.fleet.FleetShare
 import io.primroseflow.model.DataCentreId
 import io.primroseflow.model.HostId
 import io.primroseflow.model.TeamId
+import kotlin.random.Random
 import kotlin.time.Clock
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
@@ -84,6 +86,7 @@
  *
  * @param dataCentre data centre of this host
  * @param seeds control hosts to contact besides the replicas that an answer has named
+ * @param random must differ from that of every former process of this host
  */
 internal class SchedulerLink(
     private val dataCentre: DataCentreId,
@@ -93,13 +96,16 @@
     private val clock: Clock,
     private val log: EventLog,
     private val send: (HostId, PeerMessage) -> Unit,
-    private val listener: SchedulerLinkListener
+    private val listener: SchedulerLinkListener,
+    random: Random
 ) {
     private class PendingReport(val number: Long, val sentAt: ClockReading)
 
     private var replicas: List<HostId> = emptyList()
     private var leader: HostId? = null
-    private var lastReportNumber = 0L
+
+    /** A confirmation of a former process's report must not renew the lease of this one. */
+    private var lastReportNumber = random.firstNumberOfProcess()
     private var unansweredSince: Instant? = null
     private var lastReportAt = Instant.DISTANT_PAST
     private val pendingReports = ArrayDeque<PendingReport>()
--- a/daemon/src/main/kotlin/io/primroseflow/daemon/entry/SlotClient.kt
+++ b/daemon/src/main/kotlin/io/primroseflow/daemon/entry/SlotClient.kt
@@ -8,6 +8,7 @@
 import io.primroseflow.daemon.peer.QuarantineReport
 import io.primroseflow.daemon.peer.RateReport
 import io.primroseflow.daemon.peer.digestOf
+import io.primroseflow.daemon.peer.firstNumberOfProcess
 import io.primroseflow.daemon.peer.toRateRecords
 import io.primroseflow.daemon.peer.toRecord
 import io.primroseflow.daemon.peer.toRecords
@@ -34,6 +35,7 @@
 import io.primroseflow.model.TeamId
 import io.primroseflow.routing.RoutedPolicy
 import io.primroseflow.routing.ServiceId
+import kotlin.random.Random
 import kotlin.time.Clock
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
@@ -54,6 +56,7 @@
  * @param quotaWindow length of the sliding window in which quotas limit the usage
  * @param retryLimits limits of the retries to each service over all hosts
  * @param rates rates that targets have stated
+ * @param random must differ from that of every former process of this host
  * @param conditions returns the conditions of the targets that are not in service
  */
 internal class SlotClient(
@@ -63,6 +66,7 @@
     private val clock: Clock,
     private val log: EventLog,
     private val rates: HostRates,
+    random: Random,
     private val conditions: () -> Map<TargetId, TargetCondition>
 ) {
     /** A request; the scheduler of [knownTerm] knows it, none if that is 0. */
@@ -90,7 +94,9 @@
     private var evidenceTerm = 0L
     private var localScheduler: FleetScheduler? = FleetScheduler(quarantine = quarantine)
     private var policy: RoutedPolicy? = null
-    private var lastTicketNumber = 0L
+
+    /** Grants for a former process of this host must not meet the tickets of this one. */
+    private var lastTicketNumber = random.firstNumberOfProcess()
 
     /** The link to the shared scheduler; must be set before the first use. */
     lateinit var link: SchedulerLink
--- a/daemon/src/test/kotlin/io/primroseflow/daemon/entry/RoutedFixture.kt
+++ b/daemon/src/test/kotlin/io/primroseflow/daemon/entry/RoutedFixture.kt
@@ -197,6 +197,7 @@
         directory,
         clock,
         Clock.System,
+        Random(2),
         log
     )
 
--- a/daemon/src/test/kotlin/io/primroseflow/daemon/entry/SchedulerLinkTest.kt
+++ b/daemon/src/test/kotlin/io/primroseflow/daemon/entry/SchedulerLinkTest.kt
@@ -10,10 +10,12 @@
 import io.primroseflow.daemon.fleet.RoutedPolicyInForce
 import io.primroseflow.daemon.peer.PeerMessage
 import io.primroseflow.daemon.peer.TargetConditionRecord
+import io.primroseflow.daemon.peer.firstNumberOfProcess
 import io.primroseflow.fleet.FleetShare
 import io.primroseflow.model.DataCentreId
 import io.primroseflow.model.HostId
 import io.primroseflow.model.TargetId
+import kotlin.random.Random
 import kotlin.time.Clock
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
@@ -24,6 +26,8 @@
     override fun now(): Instant = time
 }
 
+private const val SEED = 1
+
 private val a = HostId("10.0.0.1")
 
 private val b = HostId("10.0.0.2")
@@ -43,7 +47,8 @@
         clock = clock,
         log = log,
         send = { to, message -> sent += to to message as PeerMessage.HostReport },
-        listener = this
+        listener = this,
+        random = Random(SEED)
     )
 
     override fun requests(term: Long) = reported
@@ -62,9 +67,25 @@
         clock.time += by
     }
 
-    fun reply(from: HostId, number: Long, term: Long, revision: Long = 0) = link.onReply(
+    /** Answers the report with [number], counted from 1, of the process with [seed]. */
+    fun reply(from: HostId, number: Long, term: Long, revision: Long = 0, seed: Int = SEED) {
+        val absolute = Random(seed).firstNumberOfProcess() + number
+        val policy = PolicyRevision(revision)
+        link.onReply(
+            from,
+            PeerMessage.ReportReply(absolute, term, policy, listOf(a, b), FleetShare(3))
+        )
+    }
+
+    fun replyTo(from: HostId, report: PeerMessage.HostReport, term: Long) = link.onReply(
         from,
-        PeerMessage.ReportReply(number, term, PolicyRevision(revision), listOf(a, b), FleetShare(3))
+        PeerMessage.ReportReply(
+            report.number,
+            term,
+            PolicyRevision.NONE,
+            listOf(a, b),
+            FleetShare(3)
+        )
     )
 
     fun receivers() = sent.map { it.first }.also { sent.clear() }
@@ -121,7 +142,7 @@
                     fixture.advance(200.milliseconds)
                     fixture.link.tick()
                     fixture.sent.lastOrNull()?.let { (_, sent) ->
-                        fixture.reply(a, number = sent.number, term = 1)
+                        fixture.replyTo(a, sent, term = 1)
                     }
                 }
                 fixture.receivers() shouldHaveSize 5
@@ -156,6 +177,18 @@
         }
 
         describe("the policy lease") {
+            // A revoked credential stays in use: the confirmation of a report that a former process
+            // of the host sent long before is taken for one of a report just sent.
+            it("is not renewed by an answer to a report of a former process of the host") {
+                val fixture = LinkFixture()
+                fixture.link.tick()
+                fixture.reply(a, number = 1, term = 1, seed = SEED + 1)
+                fixture.lease.isValid shouldBe false
+                fixture.link.isAttached shouldBe false
+                fixture.reply(a, number = 1, term = 1)
+                fixture.lease.isValid shouldBe true
+            }
+
             it("is not renewed by an answer with a later revision than the one in force") {
                 val fixture = LinkFixture()
                 fixture.link.tick()
