Answer every request before a planned stop of an entry host ends

Cause: a stop accepted requests for a fixed 3 s and then closed the connections half a second before the end of the grace period. Nothing refused who waited, and nothing answered what was still running.

Fix: all times of a stop follow from the grace period.

--- a/core/src/main/kotlin/io/primroseflow/fleet/FleetModel.kt
+++ b/core/src/main/kotlin/io/primroseflow/fleet/FleetModel.kt
@@ -98,7 +98,10 @@
     Quarantined,
 
     /** The targets that could serve it take too few requests a second to meet the deadline. */
-    RateLimited
+    RateLimited,
+
+    /** The host of the request stops. No scheduler refuses for this reason, only the host itself. */
+    HostStopping
 }
 
 /** The way in which the answer of a target was lost. */
--- a/daemon/src/main/kotlin/io/primroseflow/daemon/entry/EntryHost.kt
+++ b/daemon/src/main/kotlin/io/primroseflow/daemon/entry/EntryHost.kt
@@ -32,6 +32,7 @@
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 import kotlin.time.Instant
+import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Job
 import kotlinx.coroutines.coroutineScope
@@ -48,12 +49,6 @@
 /** Interval at which this host reads the target directory while it is detached. */
 private val FALLBACK_POLL_INTERVAL: Duration = 1.seconds
 
-/** Time for which requests are still accepted after a stop signal, until balancers notice it. */
-private val STOP_ACCEPT_PERIOD: Duration = 3.seconds
-
-/** Time before the end of the grace period at which the remaining requests are cut off. */
-private val STOP_MARGIN: Duration = 500.milliseconds
-
 private val STOP_POLL_INTERVAL: Duration = 50.milliseconds
 
 /**
@@ -161,17 +156,20 @@
         isDue = { true },
         onTargets = { slots.onTargets(version = 0, it) }
     )
-    private var stoppingSince: Instant? = null
+    private var stop: StopSchedule? = null
+
+    /** Completed in a planned stop when requests without an answer get one from this host. */
+    private val answersEnd = CompletableDeferred<Unit>()
 
     /** Tasks that run only while this host is detached, so that an attached host rests. */
     private var detachedTasks: List<Job> = emptyList()
     private val admissionController = AdmissionController(policy, lease) { at ->
-        stoppingSince?.let { at - it > STOP_ACCEPT_PERIOD } == true
+        stop?.let { at > it.acceptsUntil } == true
     }
 
     /** Whether this host is ready for new callers; the answer of the readiness check. */
     val isReady: Boolean
-        get() = stoppingSince == null && policy.table != null && lease.isValid &&
+        get() = stop == null && policy.table != null && lease.isValid &&
             slots.targets.isNotEmpty()
 
     /** Starts the listeners and the periodic tasks, which run in the scope of this host. */
@@ -202,18 +200,24 @@
     }
 
     /**
-     * Stops this host: accepts requests for a short time, waits until all have ended or the grace
-     * period is almost over, and closes all connections.
+     * Stops this host by its [StopSchedule]: accepts requests for a short time, refuses those that
+     * still wait for a slot, waits until the others have ended or the grace period is almost over,
+     * answers those that have no answer yet, and closes all connections.
      */
     suspend fun stop() {
-        val start = clock.now()
-        stoppingSince = start
+        val schedule = StopSchedule(clock.now(), settings.grace)
+        stop = schedule
         callers.isDraining = true
         log.info("host_stopping", "connections" to callers.connectionCount)
-        delay(STOP_ACCEPT_PERIOD)
+        delay(schedule.acceptsUntil - clock.now())
         callers.closeIdle()
-        val until = start + settings.grace - STOP_MARGIN
-        while (callers.busyCount > 0 && clock.now() < until) delay(STOP_POLL_INTERVAL)
+        awaitAnswered(schedule.dispatchesUntil)
+        log.info("host_stop_refusing", "waiting" to slots.waitingCount)
+        slots.refuseAll()
+        awaitAnswered(schedule.answersUntil)
+        log.info("host_stop_answering", "running" to slots.heldCount)
+        answersEnd.complete(Unit)
+        awaitAnswered(schedule.endsAt)
         log.info("host_stopped", "cut" to callers.busyCount)
         callers.closeAll()
         health.closeAll()
@@ -221,6 +225,10 @@
         pool.closeAll()
     }
 
+    private suspend fun awaitAnswered(until: Instant) {
+        while (callers.busyCount > 0 && clock.now() < until) delay(STOP_POLL_INTERVAL)
+    }
+
     private fun every(interval: Duration, step: () -> Unit): Job = scope.launch {
         while (true) {
             step()
@@ -302,6 +310,7 @@
         val relay = RequestRelay(relayContext, request, connection, closes)
         var result: RelayResult? = null
         var hasCallerLeft = false
+        var isStopped = false
         coroutineScope {
             val work: Job = launch {
                 val left = request.deadline - clock.now()
@@ -313,10 +322,18 @@
                 hasCallerLeft = true
                 if (!relay.isUncancellable) work.cancel()
             }
+            val stopper = launch {
+                answersEnd.await()
+                // An answer that has begun goes on until the connections are closed.
+                if (connection.isResponseStarted) return@launch
+                isStopped = true
+                work.cancel()
+            }
             work.join()
             watcher.cancel()
+            stopper.cancel()
         }
-        val ended = result
+        val ended = result ?: if (isStopped && !hasCallerLeft) resultAtStop(relay) else null
         metrics.recordEnd(request, relay, outcomeLabel(ended, hasCallerLeft), clock.now())
         logEnd(request, relay, ended, hasCallerLeft)
         if (hasCallerLeft || ended == null || ended is RelayResult.Broken) return false
@@ -333,6 +350,10 @@
             else -> RelayResult.Refused(EntryRefusal.TimedOutWaiting)
         }
 
+    private fun resultAtStop(relay: RequestRelay) = RelayResult.Refused(
+        if (relay.mayHaveRun) EntryRefusal.AnswerLost else EntryRefusal.HostStopping
+    )
+
     private suspend fun refuse(
         connection: HttpConnection,
         refusal: EntryRefusal,
--- a/daemon/src/main/kotlin/io/primroseflow/daemon/entry/RequestRelay.kt
+++ b/daemon/src/main/kotlin/io/primroseflow/daemon/entry/RequestRelay.kt
@@ -168,6 +168,9 @@
 
             SlotRefusal.NoRetryLeft -> EntryRefusal.TargetsBusy
 
+            // Another host may serve the request at once.
+            SlotRefusal.HostStopping -> return RelayResult.Refused(EntryRefusal.HostStopping)
+
             // The caller is not told when to come again, since that would not help it.
             SlotRefusal.Quarantined -> return RelayResult.Refused(EntryRefusal.Quarantined)
         }
--- a/daemon/src/main/kotlin/io/primroseflow/daemon/entry/SlotClient.kt
+++ b/daemon/src/main/kotlin/io/primroseflow/daemon/entry/SlotClient.kt
@@ -23,6 +23,7 @@
 import io.primroseflow.fleet.QuotaTolerance
 import io.primroseflow.fleet.SlotDecision
 import io.primroseflow.fleet.SlotEnd
+import io.primroseflow.fleet.SlotRefusal
 import io.primroseflow.fleet.SlotRequest
 import io.primroseflow.fleet.SlotTicket
 import io.primroseflow.fleet.TargetCondition
@@ -94,6 +95,7 @@
     private var evidenceTerm = 0L
     private var localScheduler: FleetScheduler? = FleetScheduler(quarantine = quarantine)
     private var policy: RoutedPolicy? = null
+    private var isRefusing = false
 
     /** Grants for a former process of this host must not meet the tickets of this one. */
     private var lastTicketNumber = random.firstNumberOfProcess()
@@ -123,6 +125,7 @@
 
     /** Waits until [request] is granted a slot or refused; cancellation withdraws the request. */
     suspend fun acquire(request: SlotRequest): SlotDecision {
+        if (isRefusing) return request.refusedAtStop()
         val number = request.ticket.number
         val entry = WaitingRequest(request, CompletableDeferred())
         waiting[number] = entry
@@ -143,6 +146,15 @@
         }
     }
 
+    /** Refuses all waiting and later requests, as this host stops and has no time to relay them. */
+    fun refuseAll() {
+        isRefusing = true
+        for (entry in waiting.values.toList()) {
+            withdraw(entry.request.ticket.number)
+            entry.answer.complete(entry.request.refusedAtStop())
+        }
+    }
+
     /** Releases the slot of [ticket], whose use ended with [end]. */
     fun release(ticket: SlotTicket, end: SlotEnd) {
         held.remove(ticket.number) ?: return
@@ -321,6 +333,9 @@
             id to standaloneFraction(used, quota, share.hosts, quotaWindow)
         }.toMap()
 
+    private fun SlotRequest.refusedAtStop() =
+        SlotDecision.Refuse(ticket, SlotRefusal.HostStopping, Duration.ZERO)
+
     private fun withdraw(number: Long) {
         // A grant may have been delivered while the request was being cancelled.
         held.remove(number)
--- a/daemon/src/main/kotlin/io/primroseflow/daemon/fleet/SharedScheduler.kt
+++ b/daemon/src/main/kotlin/io/primroseflow/daemon/fleet/SharedScheduler.kt
@@ -391,6 +391,7 @@
             SlotRefusal.OverQuota,
             SlotRefusal.TooLate,
             SlotRefusal.NoRetryLeft,
+            SlotRefusal.HostStopping,
             SlotRefusal.NoTarget -> true
         }
         return if (isKnown) reason else SlotRefusal.TooLate
--- a/daemon/src/test/kotlin/io/primroseflow/daemon/entry/RoutedFixture.kt
+++ b/daemon/src/test/kotlin/io/primroseflow/daemon/entry/RoutedFixture.kt
@@ -131,7 +131,11 @@
 }
 
 /** A control host and an entry host on loopback addresses that serve [targets]. */
-class RoutedFixture(vararg targets: FakeTarget, lease: Duration = 5.seconds) : AutoCloseable {
+class RoutedFixture(
+    vararg targets: FakeTarget,
+    lease: Duration = 5.seconds,
+    grace: Duration = 6.seconds
+) : AutoCloseable {
     private val folder = Files.createTempDirectory("control")
     private val loop = EventLoop("test")
     private val worker = loop.dispatcher
@@ -183,7 +187,7 @@
         peerPort = peerPort,
         seeds = { setOf(CONTROL_ADDRESS) },
         leaseDuration = lease,
-        grace = 6.seconds,
+        grace = grace,
         retryLimits = RetryLimits(allowance = 100),
         quotaWindow = tolerance.window,
         metricsPort = ports.next()
@@ -261,8 +265,12 @@
 }
 
 /** Runs [block] with a control host and an entry host in front of [targets], then ends them all. */
-fun withHosts(vararg targets: FakeTarget, block: RoutedFixture.() -> Unit) {
-    RoutedFixture(*targets).use {
+fun withHosts(
+    vararg targets: FakeTarget,
+    grace: Duration = 6.seconds,
+    block: RoutedFixture.() -> Unit
+) {
+    RoutedFixture(*targets, grace = grace).use {
         it.startControl()
         it.block()
     }
