Close the connection to a target whose bytes are no answer, whatever the parser says

Cause: Ktor's parser fails on such bytes with an index out of bounds or an illegal state, of which only two other types were expected. The exception passed the exchange by, so nothing closed the connection, which went on buffering, and ended the task that served the caller. The same parser reads what callers send, with the same effect on their connection.

Fix: whatever the parser throws becomes one error of the connection, at targets as for callers, which get a 400; an exchange closes its connection unless it returns it to the pool, whatever happened.

Evidence: two cases of EndlessAnswersTest with bytes from a seeded random source and ten first bytes fail before (ArrayIndexOutOfBoundsException: Index 65533 out of bounds for length 256, the callers' answers are empty) and pass now.

--- a/daemon/src/main/kotlin/io/primroseflow/daemon/http/HttpConnection.kt
+++ b/daemon/src/main/kotlin/io/primroseflow/daemon/http/HttpConnection.kt
@@ -1,7 +1,6 @@
 package io.primroseflow.daemon.http
 
 import io.ktor.http.HttpStatusCode
-import io.ktor.http.cio.ParserException
 import io.ktor.http.cio.RequestResponseBuilder
 import io.ktor.http.cio.parseRequest
 import io.ktor.utils.io.ByteReadChannel
@@ -84,7 +83,7 @@
                 )
         } catch (_: InputLimitException) {
             headersTooLarge()
-        } catch (e: ParserException) {
+        } catch (e: MalformedMessageException) {
             Incoming.Invalid(HttpStatusCode.BadRequest.value, e.message ?: "malformed")
         } catch (e: IllegalArgumentException) {
             Incoming.Invalid(HttpStatusCode.BadRequest.value, e.message ?: "malformed")
@@ -168,7 +167,7 @@
 
     private suspend fun readRequest(bounds: CallerBounds): Incoming {
         socket.limitInput(bounds.headerBytes + HEAD_OVERHEAD_BYTES)
-        val parsed = parseRequest(input) ?: return Incoming.Closed
+        val parsed = parsingHttp { parseRequest(input) } ?: return Incoming.Closed
         socket.limitInput(null)
         val head = HttpRequestHead(
             method = parsed.method.value,
--- a/daemon/src/main/kotlin/io/primroseflow/daemon/target/TargetConnectionPools.kt
+++ b/daemon/src/main/kotlin/io/primroseflow/daemon/target/TargetConnectionPools.kt
@@ -1,7 +1,6 @@
 package io.primroseflow.daemon.target
 
 import io.ktor.http.HttpMethod
-import io.ktor.http.cio.ParserException
 import io.ktor.http.cio.RequestResponseBuilder
 import io.ktor.http.cio.parseResponse
 import io.ktor.utils.io.ByteReadChannel
@@ -11,6 +10,7 @@
 import io.ktor.utils.io.writePacket
 import io.primroseflow.daemon.http.HttpAnswerHead
 import io.primroseflow.daemon.http.HttpField
+import io.primroseflow.daemon.http.parsingHttp
 import io.primroseflow.daemon.http.toFields
 import io.primroseflow.daemon.socket.EventLoop
 import io.primroseflow.daemon.socket.StreamSocket
@@ -95,17 +95,13 @@
         throw IOException("more than $MAX_INTERIM_HEADS interim responses")
     }
 
-    private suspend fun readAnyHead(): HttpAnswerHead? = try {
+    private suspend fun readAnyHead(): HttpAnswerHead? {
         socket.limitInput(MAX_HEAD_BYTES)
-        val parsed = parseResponse(input) ?: return null
+        val parsed = parsingHttp { parseResponse(input) } ?: return null
         socket.limitInput(null)
         val head = HttpAnswerHead(parsed.status, parsed.headers.toFields())
         parsed.release()
-        head
-    } catch (e: ParserException) {
-        throw IOException("not an HTTP response: ${e.message}", e)
-    } catch (e: IllegalArgumentException) {
-        throw IOException("not an HTTP response: ${e.message}", e)
+        return head
     }
 
     fun close() {
--- a/daemon/src/main/kotlin/io/primroseflow/daemon/target/TargetExchanges.kt
+++ b/daemon/src/main/kotlin/io/primroseflow/daemon/target/TargetExchanges.kt
@@ -10,7 +10,6 @@
 import java.io.IOException
 import kotlin.time.Duration
 import kotlin.time.TimeSource
-import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.CoroutineStart
 import kotlinx.coroutines.cancel
@@ -145,20 +144,19 @@
             return ExchangeResult.Withheld
         }
         val exchange = Exchange(connection, dispatch, listener)
+        var isReusable = false
         try {
             val result = exchange.run()
-            if (exchange.isReusable) {
+            isReusable = exchange.isReusable
+            return result
+        } catch (e: IOException) {
+            return ExchangeResult.Failed(e.message ?: e.toString(), isBroken = true)
+        } finally {
+            if (isReusable) {
                 pool.release(connection, exchange.idleLimit)
             } else {
                 connection.close()
             }
-            return result
-        } catch (e: IOException) {
-            connection.close()
-            return ExchangeResult.Failed(e.message ?: e.toString(), isBroken = true)
-        } catch (e: CancellationException) {
-            connection.close()
-            throw e
         }
     }
 
--- a/daemon/src/test/kotlin/io/primroseflow/daemon/entry/EndlessAnswersTest.kt
+++ b/daemon/src/test/kotlin/io/primroseflow/daemon/entry/EndlessAnswersTest.kt
@@ -11,6 +11,7 @@
 import java.io.OutputStream
 import java.util.concurrent.atomic.AtomicLong
 import kotlin.concurrent.thread
+import kotlin.random.Random
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
@@ -43,6 +44,10 @@
     sent.addAndGet(text.length.toLong())
 }
 
+/** First bytes of answers that are none, by the id of their request. */
+private val firstBytes = listOf(0x80, 0x8d, 0xc3, 0xff, 0x00, 0x0a, 0x0d, 0x20, 0x30, 0x48)
+    .associate { "b$it" to it.toByte() }
+
 private fun streamHead(id: String) = FULL_HEAD.format(id) + "Transfer-Encoding: chunked\r\n\r\n"
 
 private fun chunkOf(text: String) = "${text.length.toString(radix = 16)}\r\n$text\r\n"
@@ -77,6 +82,35 @@
             }
         }
 
+        describe("a call answered with bytes that are no answer, without end") {
+            // CONFIG: the parser failed in a way that nothing expected, the connection to the target
+            // stayed open and its bytes came in until the host answered nothing (KNOWN-RED 10).
+            it("is a failure, and the target's connection is closed") {
+                val random = Random(1)
+                val target = FakeTarget { request, output ->
+                    val block = random.nextBytes(16 * 1024)
+                    block[0] = firstBytes.getValue(request.id)
+                    while (true) {
+                        output.write(block)
+                        output.flush()
+                    }
+                    @Suppress("UNREACHABLE_CODE")
+                    false
+                }
+                withHosts(target) {
+                    firstBytes.keys.forEachIndexed { index, id ->
+                        call("/once/$id", id = id) shouldStartWith "HTTP/1.1 502"
+                        await { target.closed.get() == index + 1 }
+                    }
+                    target.behaviour = { request, output ->
+                        output.answer(request.id)
+                        true
+                    }
+                    call("/safe/2", id = "r2") shouldStartWith "HTTP/1.1 200"
+                }
+            }
+        }
+
         describe("many calls answered without end at the same time") {
             it("do not exhaust the memory, and other calls are served meanwhile") {
                 val block = "x".repeat(8_000)
@@ -168,6 +202,23 @@
         }
 
         describe("a caller whose request has no end") {
+            // The same parser reads what callers send.
+            it("is refused if its bytes are no request") {
+                val random = Random(1)
+                withHosts(FakeTarget { _, _ -> false }) {
+                    for (first in firstBytes.values) {
+                        connect().use { socket ->
+                            val bytes = random.nextBytes(20_000)
+                            bytes[0] = first
+                            socket.getOutputStream().write(bytes)
+                            val status = ByteArray(12)
+                            socket.getInputStream().readNBytes(status, 0, status.size)
+                            status.decodeToString() shouldStartWith "HTTP/1.1 4"
+                        }
+                    }
+                }
+            }
+
             it("is refused as soon as its header exceeds the limit") {
                 withHosts(
                     FakeTarget { request, output ->
