Bound what is read of responses in both ways of starting, in bytes

Seen by operators of similar systems: a target sends bytes without end, the host that called it keeps them all and runs out of memory. Here the heads of answers and the data lines of one event had no bound on hosts with fixed peers, nor had the responses to polls there and the platform's list on entry and control hosts; the latter arrived for up to 0.9 s, which is gigabytes on a fast link.

Cause: only the answers that entry hosts relay had been looked at for bounds.

Bytes that are no HTTP are a failure of the target with fixed peers too.

--- a/daemon/src/main/kotlin/io/primroseflow/daemon/HttpFetcher.kt
+++ b/daemon/src/main/kotlin/io/primroseflow/daemon/HttpFetcher.kt
@@ -49,6 +49,9 @@
             while (true) {
                 val count = body.read(buffer)
                 if (count < 0) break
+                if (collected.size() + count > MAX_BODY_BYTES) {
+                    return Err("response of more than $MAX_BODY_BYTES bytes")
+                }
                 collected.write(buffer, 0, count)
             }
             isReusable = framing != BodyFraming.UntilClose && head.keepsConnection
@@ -60,5 +63,8 @@
 
     private companion object {
         const val BUFFER_BYTES = 8 * 1024
+
+        /** Maximum size of the body of a response, which is read into memory as a whole. */
+        const val MAX_BODY_BYTES = 4 * 1024 * 1024
     }
 }
--- a/daemon/src/main/kotlin/io/primroseflow/daemon/platform/PlatformListPoller.kt
+++ b/daemon/src/main/kotlin/io/primroseflow/daemon/platform/PlatformListPoller.kt
@@ -1,14 +1,10 @@
 package io.primroseflow.daemon.platform
 
 import io.ktor.client.HttpClient
-import io.ktor.client.plugins.timeout
-import io.ktor.client.request.get
-import io.ktor.client.statement.bodyAsText
-import io.ktor.http.HttpStatusCode
 import io.primroseflow.daemon.target.TargetConcern
 import io.primroseflow.daemon.target.TargetConditionTracker
+import io.primroseflow.daemon.target.textOrNull
 import io.primroseflow.model.TargetId
-import java.io.IOException
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.seconds
 import kotlinx.coroutines.delay
@@ -67,12 +63,7 @@
     }
 
     private suspend fun fetchOrNull(): PlatformList? = try {
-        val response = client.get("$url/hosts") {
-            timeout { requestTimeoutMillis = POLL_TIMEOUT.inWholeMilliseconds }
-        }
-        if (response.status == HttpStatusCode.OK) decode(response.bodyAsText()) else null
-    } catch (_: IOException) {
-        null
+        client.textOrNull("$url/hosts", POLL_TIMEOUT)?.let(::decode)
     } catch (_: SerializationException) {
         null
     }
--- a/daemon/src/main/kotlin/io/primroseflow/daemon/target/EngineExchanges.kt
+++ b/daemon/src/main/kotlin/io/primroseflow/daemon/target/EngineExchanges.kt
@@ -2,8 +2,8 @@
 
 import com.github.michaelbull.result.get
 import io.ktor.http.Url
-import io.ktor.http.cio.ParserException
 import io.ktor.http.cio.Response
+import io.primroseflow.daemon.http.MalformedMessageException
 import io.primroseflow.daemon.request.AcceptedRequest
 import io.primroseflow.daemon.request.AnswerPart
 import io.primroseflow.daemon.request.HeaderField
@@ -145,10 +145,10 @@
     exchange()
 } catch (_: TimeoutCancellationException) {
     ExchangeEnd.Interrupted(Interruption.ProgressTimeout)
+} catch (_: MalformedMessageException) {
+    ExchangeEnd.Interrupted(Interruption.TargetFailed)
 } catch (_: IOException) {
     ExchangeEnd.Interrupted(Interruption.ConnectionLost)
-} catch (_: ParserException) {
-    ExchangeEnd.Interrupted(Interruption.TargetFailed)
 } catch (_: EventStreamException) {
     ExchangeEnd.Interrupted(Interruption.TargetFailed)
 }
--- a/daemon/src/main/kotlin/io/primroseflow/daemon/target/EventStreams.kt
+++ b/daemon/src/main/kotlin/io/primroseflow/daemon/target/EventStreams.kt
@@ -6,6 +6,9 @@
 
 private const val MAX_LINE_BYTES = 1024 * 1024
 
+/** Maximum size of the data of an event, over all its lines. */
+private const val MAX_EVENT_BYTES = 1024 * 1024
+
 private const val LINE_FEED = '\n'.code.toByte()
 
 private const val CARRIAGE_RETURN = '\r'.code.toByte()
@@ -32,7 +35,7 @@
      * Returns the data of the next event, or `null` at the end of the stream. An incomplete event
      * at the end of the stream is discarded.
      *
-     * @throws EventStreamException if a line exceeds the maximum length
+     * @throws EventStreamException if a line or an event exceeds the maximum length
      */
     suspend fun nextOrNull(): ByteArray? {
         var data: ByteArray? = null
@@ -43,6 +46,9 @@
             }
             val value = dataOfLineOrNull() ?: continue
             data = if (data == null) value else data + LINE_FEED + value
+            if (data.size > MAX_EVENT_BYTES) {
+                throw EventStreamException("event of more than $MAX_EVENT_BYTES bytes")
+            }
         }
         return null
     }
--- a/daemon/src/main/kotlin/io/primroseflow/daemon/target/TargetPoller.kt
+++ b/daemon/src/main/kotlin/io/primroseflow/daemon/target/TargetPoller.kt
@@ -1,15 +1,10 @@
 package io.primroseflow.daemon.target
 
 import io.ktor.client.HttpClient
-import io.ktor.client.plugins.timeout
-import io.ktor.client.request.get
-import io.ktor.client.statement.bodyAsText
-import io.ktor.http.HttpStatusCode
 import io.primroseflow.model.TargetId
 import io.primroseflow.model.Tokens
 import io.primroseflow.policy.Target
 import io.primroseflow.scheduling.LoadReport
-import java.io.IOException
 import kotlin.time.Clock
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
@@ -88,7 +83,7 @@
     }
 
     private suspend fun pollLoad(): Boolean {
-        val text = fetchOrNull("/load") ?: return false
+        val text = client.textOrNull(target.url + "/load", POLL_TIMEOUT) ?: return false
         val message = decodeOrNull(LoadMessage.serializer(), text) ?: return true
         val at = clock.now() - message.ageMillis.coerceAtLeast(0).milliseconds
         val kvUsed = Tokens(message.kvUsedTokens)
@@ -98,7 +93,8 @@
     }
 
     private suspend fun pollCacheEvents() {
-        val text = fetchOrNull("/cache/events?after=$lastEventSeq") ?: return
+        val url = "${target.url}/cache/events?after=$lastEventSeq"
+        val text = client.textOrNull(url, POLL_TIMEOUT) ?: return
         val message = decodeOrNull(CacheEventsMessage.serializer(), text) ?: return
         for (event in message.events) {
             lastEventSeq = maxOf(lastEventSeq, event.seq)
@@ -106,15 +102,6 @@
         }
     }
 
-    private suspend fun fetchOrNull(path: String): String? = try {
-        val response = client.get(target.url + path) {
-            timeout { requestTimeoutMillis = POLL_TIMEOUT.inWholeMilliseconds }
-        }
-        if (response.status == HttpStatusCode.OK) response.bodyAsText() else null
-    } catch (_: IOException) {
-        null
-    }
-
     private fun <T> decodeOrNull(serializer: KSerializer<T>, text: String): T? = try {
         json.decodeFromString(serializer, text)
     } catch (_: SerializationException) {
--- a/daemon/src/test/kotlin/io/primroseflow/daemon/target/ExchangeTest.kt
+++ b/daemon/src/test/kotlin/io/primroseflow/daemon/target/ExchangeTest.kt
@@ -9,6 +9,7 @@
 import io.ktor.http.Url
 import io.primroseflow.request.Interruption
 import java.net.ServerSocket
+import kotlin.random.Random
 import kotlin.time.Duration
 
 private const val ID = "one.r1"
@@ -120,6 +121,35 @@
                 }
             }
 
+            // Operators: a target sends bytes that are no answer, without end, until the caller
+            // closes; the host keeps them all and runs out of memory.
+            it("is interrupted if the head of its answer exceeds the limit") {
+                val fields = "X-More: ${"x".repeat(1_000)}\r\n".repeat(100)
+                val answer = stream().replaceFirst("\r\n", "\r\n$fields").encodeToByteArray()
+                val run = runEngine { answer }
+                run.end shouldBe ExchangeEnd.Interrupted(Interruption.ConnectionLost)
+                run.observer.parts.shouldBeEmpty()
+            }
+
+            // The same, in the data lines of one event.
+            it("is interrupted if one of its events exceeds the limit") {
+                val line = "data: ${"x".repeat(10_000)}\n"
+                val answer = streamHead() + chunk(line.repeat(200)) + chunk("\n\n")
+                val run = runEngine { answer.encodeToByteArray() }
+                run.end shouldBe ExchangeEnd.Interrupted(Interruption.TargetFailed)
+                run.observer.parts.shouldBeEmpty()
+            }
+
+            // The parser fails on such bytes in ways that nothing expected.
+            it("is interrupted if its answer is not HTTP") {
+                val random = Random(1)
+                repeat(20) {
+                    val answer = random.nextBytes(4_000)
+                    val run = runEngine { answer + "\n\r\n".encodeToByteArray() }
+                    run.end.shouldBeInstanceOf<ExchangeEnd.Interrupted>()
+                }
+            }
+
             it("is not written if no connection to the target can be opened") {
                 val port = ServerSocket(0).use { it.localPort }
                 val observer = RecordingObserver()
