--- a/daemon/src/main/kotlin/io/primroseflow/daemon/target/BoundedFetch.kt
+++ b/daemon/src/main/kotlin/io/primroseflow/daemon/target/BoundedFetch.kt
@@ -25,7 +25,9 @@
     prepareGet(url) { timeout { requestTimeoutMillis = timeout.inWholeMilliseconds } }
         .execute { response ->
             if (response.status != HttpStatusCode.OK) return@execute null
-            val body = response.bodyAsChannel().readRemaining(MAX_RESPONSE_BYTES + 1).readByteArray()
+            val body = response.bodyAsChannel().readRemaining(
+                MAX_RESPONSE_BYTES + 1
+            ).readByteArray()
             if (body.size > MAX_RESPONSE_BYTES) {
                 log.warn("the response of {} has more than {} bytes", url, MAX_RESPONSE_BYTES)
                 null
