Contain unexpected failures, and end or restart what has failed

Cause: tasks expected failures of some types only. Any other ended the task, on a control host all that ran beside it, and at most a line was logged.

Fix: a step, message, frame, list read or relay that fails costs only itself and is logged (task_failed); a relay that fails is answered 503 or 502 by what is known. Lasting tasks of hosts with fixed peers are started again. The end of the event loop or of the control replica, and an exhausted memory, end the process, with a line that says why (process_ending), so that it is started anew. The lists that hosts with fixed peers poll lose nothing but their odd entries.

--- a/daemon/src/main/kotlin/io/primroseflow/daemon/Daemon.kt
+++ b/daemon/src/main/kotlin/io/primroseflow/daemon/Daemon.kt
@@ -88,6 +88,8 @@
  *
  * @property operatorToken token that authenticates operators
  * @property storage storage of the control replica, `null` on hosts without one
+ * @property onUnusable called with the cause if this host cannot do its work any more, so that its
+ *   process must be started anew
  */
 internal class DaemonInputs(
     val settings: DaemonSettings,
@@ -96,7 +98,8 @@
     val operatorToken: String,
     val storage: ReplicaStorage?,
     val clock: Clock = MonotonicClock(),
-    val random: Random = Random.Default
+    val random: Random = Random.Default,
+    val onUnusable: (String) -> Unit = {}
 )
 
 /** The ports on which a started daemon listens. */
@@ -142,7 +145,8 @@
         phase = { phase },
         onRequestMessage = remoteRequests::handle,
         storage = inputs.storage,
-        random = inputs.random
+        random = inputs.random,
+        onReplicaEnded = { inputs.onUnusable("the control replica has ended") }
     )
     private val ledger =
         ReplicatedLedger(settings.host, controlPlane.client, Clock.System, scope) { policy.ledger }
@@ -207,10 +211,11 @@
     suspend fun start(): DaemonPorts {
         metrics.addGauges(statusCollector) { if (isReady) 1.0 else 0.0 }
         pools.reconfigure(policy)
-        scope.launch { tracker.run() }
+        scope.launchLasting("target conditions") { tracker.run() }
         pollers.reconfigure(policy)
         settings.platformUrl?.let { url ->
-            scope.launch { PlatformListPoller(client, url, tracker).run() }
+            val poller = PlatformListPoller(client, url, tracker)
+            scope.launchLasting("platform list") { poller.run() }
         }
         val ports = DaemonPorts(
             peer = controlPlane.start(),
@@ -310,6 +315,10 @@
 
     private fun exceptionHandler() = CoroutineExceptionHandler { _, exception ->
         log.error("a task failed", exception)
+        // The memory may be exhausted: what still runs may lack what has failed.
+        if (exception is VirtualMachineError && exception !is StackOverflowError) {
+            inputs.onUnusable(exception.toString())
+        }
     }
 
     private inner class PollListener : TargetPollListener {
--- a/daemon/src/main/kotlin/io/primroseflow/daemon/HostProcesses.kt
+++ b/daemon/src/main/kotlin/io/primroseflow/daemon/HostProcesses.kt
@@ -19,6 +19,7 @@
 import io.primroseflow.limits.RetryLimits
 import io.primroseflow.model.DataCentreId
 import java.nio.file.Path
+import kotlin.concurrent.thread
 import kotlin.random.Random
 import kotlin.system.exitProcess
 import kotlin.time.Clock
@@ -84,15 +85,27 @@
 internal class ProcessContext(name: String, host: String) {
     val log = EventLog(name, host)
     val clock: Clock = MonotonicClock()
-    val loop = EventLoop("worker")
+    val loop = EventLoop("worker") { endProcess("the event loop has ended") }
     val dispatcher = loop.dispatcher
     val scope = CoroutineScope(
         SupervisorJob() + dispatcher + CoroutineExceptionHandler { _, e ->
             log.warn("task_failed", "cause" to e.stackTraceToString())
+            // The memory may be exhausted: what still runs may lack what has failed.
+            if (e is VirtualMachineError && e !is StackOverflowError) endProcess(e.toString())
         }
     )
     val fetcher = HttpFetcher(TargetConnectionPool(loop, clock))
 
+    /** Ends the process, so that it is started anew, as it cannot do its work because of [cause]. */
+    fun endProcess(cause: String) {
+        log.warn("process_ending", "cause" to cause)
+        // The thread that calls this may be one that the end of the process waits for.
+        thread(name = "end") {
+            LogManager.shutdown()
+            exitProcess(EXIT_FAILED)
+        }
+    }
+
     /** Runs [step] on the worker thread and blocks until it completes. */
     fun <T> run(step: suspend () -> T): T = runBlocking { withContext(dispatcher) { step() } }
 }
@@ -169,10 +182,9 @@
                 .listen(settings.address, port)
         }
         context.scope.launch {
-            val error = host.run()
-            context.log.warn("storage_unusable", "cause" to error)
-            LogManager.shutdown()
-            exitProcess(EXIT_FAILED)
+            val error = contain(context.log.failureOf("control host")) { host.run() }
+            context.log.warn("storage_unusable", "cause" to (error ?: "the replica has failed"))
+            context.endProcess("the control replica has ended")
         }
     }
     signals.await()
--- a/daemon/src/main/kotlin/io/primroseflow/daemon/Main.kt
+++ b/daemon/src/main/kotlin/io/primroseflow/daemon/Main.kt
@@ -9,6 +9,7 @@
 import io.primroseflow.policy.readPolicy
 import java.io.IOException
 import java.nio.file.Path
+import kotlin.concurrent.thread
 import kotlin.io.path.name
 import kotlin.io.path.readLines
 import kotlin.io.path.readText
@@ -18,6 +19,9 @@
 
 private const val EXIT_BAD_INPUT = 2
 
+/** Exit status of a host that cannot do its work any more. */
+private const val EXIT_UNUSABLE = 4
+
 /** Exit status after a second signal, which ends the process without draining. */
 private const val EXIT_FORCED = 3
 
@@ -49,10 +53,18 @@
         policy = loadPolicy(settings),
         credentials = loadCredentials(settings.credentials),
         operatorToken = readFrom(settings.operatorTokenFile) { it.readText().trim() },
-        storage = settings.dataFolder?.let(::openStorage)
+        storage = settings.dataFolder?.let(::openStorage),
+        onUnusable = ::endProcess
     )
 }
 
+/** Ends the process, so that it is started anew, as it cannot do its work because of [cause]. */
+private fun endProcess(cause: String) {
+    System.err.println("the process ends: $cause")
+    // The thread that calls this may be one that the end of the process waits for.
+    thread(name = "end") { exitProcess(EXIT_UNUSABLE) }
+}
+
 private fun loadPolicy(settings: DaemonSettings): CheckedPolicy {
     val base = readPolicyText(settings.policyBase)
     val overlay = settings.policyOverlay?.let(::readPolicyText)
--- a/daemon/src/main/kotlin/io/primroseflow/daemon/control/ControlHost.kt
+++ b/daemon/src/main/kotlin/io/primroseflow/daemon/control/ControlHost.kt
@@ -11,6 +11,7 @@
 import io.primroseflow.control.PolicyRevision
 import io.primroseflow.daemon.EventLog
 import io.primroseflow.daemon.PeerAddress
+import io.primroseflow.daemon.failureOf
 import io.primroseflow.daemon.fleet.DIRECTORY_POLL_INTERVAL
 import io.primroseflow.daemon.fleet.DirectoryPoller
 import io.primroseflow.daemon.fleet.Leadership
@@ -28,6 +29,7 @@
 import io.primroseflow.daemon.peer.PeerLinks
 import io.primroseflow.daemon.peer.PeerMessage
 import io.primroseflow.daemon.peer.machine
+import io.primroseflow.daemon.repeatContained
 import io.primroseflow.daemon.socket.EventLoop
 import io.primroseflow.daemon.storage.DataFolder
 import io.primroseflow.daemon.storage.ReplicaStorage
@@ -259,9 +261,9 @@
         suspend fun run(): ReplicaExitReason {
             links.listen(settings.address, settings.peerPort)
             scope.launch { poller.run() }
-            scope.launch { repeatEvery(SCHEDULER_TICK) { scheduler.tick() } }
-            scope.launch { repeatEvery(REPORT_CONFIRM_INTERVAL) { scheduler.confirmReports() } }
-            scope.launch { repeatEvery(JOIN_INTERVAL) { joinIfNeeded() } }
+            every(SCHEDULER_TICK, "scheduler") { scheduler.tick() }
+            every(REPORT_CONFIRM_INTERVAL, "reports") { scheduler.confirmReports() }
+            every(JOIN_INTERVAL, "membership") { joinIfNeeded() }
             return replica.run()
         }
 
@@ -276,11 +278,9 @@
             }
         }
 
-        private suspend fun repeatEvery(interval: Duration, step: () -> Unit) {
-            while (true) {
-                delay(interval)
-                step()
-            }
+        private fun every(interval: Duration, name: String, step: () -> Unit) = scope.launch {
+            delay(interval)
+            repeatContained(interval, log.failureOf(name)) { step() }
         }
 
         private fun seedHosts() = (settings.seeds() - settings.address).map(::HostId) + self
--- a/daemon/src/main/kotlin/io/primroseflow/daemon/control/ControlPlane.kt
+++ b/daemon/src/main/kotlin/io/primroseflow/daemon/control/ControlPlane.kt
@@ -5,6 +5,8 @@
 import io.primroseflow.control.AcceptedPolicy
 import io.primroseflow.control.PolicyRevision
 import io.primroseflow.daemon.DaemonSettings
+import io.primroseflow.daemon.contain
+import io.primroseflow.daemon.launchLasting
 import io.primroseflow.daemon.peer.CallId
 import io.primroseflow.daemon.peer.ControlQuery
 import io.primroseflow.daemon.peer.ControlReply
@@ -40,6 +42,7 @@
  * @param phase returns the current phase of this host
  * @param onRequestMessage handles messages about the owners and outcomes of requests
  * @param storage storage of the control replica, `null` if this host has none
+ * @param onReplicaEnded called if the control replica has failed; the process must be started anew
  */
 internal class ControlPlane(
     private val settings: DaemonSettings,
@@ -50,13 +53,14 @@
     private val phase: () -> HostPhase,
     private val onRequestMessage: (HostId, PeerMessage.AboutRequest) -> Unit,
     storage: ReplicaStorage?,
-    private val random: Random
+    private val random: Random,
+    private val onReplicaEnded: () -> Unit
 ) {
     private val log = LogManager.getLogger(ControlPlane::class.java)
     private val self = settings.host
     private val peers = settings.peers.associateBy { it.host }
     private val isConfirming = AtomicBoolean()
-    private val loop = EventLoop("peers")
+    private val loop = EventLoop("peers") { onReplicaEnded() }
     private val links = PeerLinks(self, loop, scope, clock, hybridClock, handler = ::handle)
     private val replica: ReplicaTask? = storage?.let {
         val initial = Membership(settings.replicas.toSet())
@@ -87,8 +91,8 @@
     suspend fun start(): Int {
         links.updateAddresses(peers.values)
         val port = links.listen(settings.bind, settings.peerPort)
-        replica?.let { scope.launch { it.run() } }
-        scope.launch { gossip.run() }
+        replica?.let { scope.launch { runReplica(it) } }
+        scope.launchLasting("gossip") { gossip.run() }
         peers.keys.shuffled(random).take(INITIAL_POLICY_PULLS)
             .forEach { links.send(it, PeerMessage.PolicyPull(policy.revision)) }
         return port
@@ -128,6 +132,11 @@
         )
     }
 
+    private suspend fun runReplica(task: ReplicaTask) {
+        contain({ log.error("the control replica has failed", it) }) { task.run() }
+        onReplicaEnded()
+    }
+
     private fun initialState() = MemberState(
         host = self,
         dataCentre = settings.dataCentre,
--- a/daemon/src/main/kotlin/io/primroseflow/daemon/entry/EntryHost.kt
+++ b/daemon/src/main/kotlin/io/primroseflow/daemon/entry/EntryHost.kt
@@ -3,6 +3,8 @@
 import io.primroseflow.control.PolicyRevision
 import io.primroseflow.daemon.EventLog
 import io.primroseflow.daemon.PeerAddress
+import io.primroseflow.daemon.contain
+import io.primroseflow.daemon.failureOf
 import io.primroseflow.daemon.fleet.Dialect
 import io.primroseflow.daemon.fleet.DirectoryPoller
 import io.primroseflow.daemon.fleet.PolicyDecoder
@@ -17,6 +19,7 @@
 import io.primroseflow.daemon.peer.PeerLinks
 import io.primroseflow.daemon.peer.PeerMessage
 import io.primroseflow.daemon.peer.machine
+import io.primroseflow.daemon.repeatContained
 import io.primroseflow.daemon.socket.EventLoop
 import io.primroseflow.daemon.target.TargetConnectionPool
 import io.primroseflow.daemon.target.TargetExchanger
@@ -193,8 +196,10 @@
         settings.metricsPort?.let {
             metricsListener(loop, scope, log, metrics.page).listen(settings.address, it)
         }
-        every(REPORT_INTERVAL) { link.tick() }
-        every(TRIM_INTERVAL) { pool.closeStale(slots.targets.mapTo(HashSet()) { it.address }) }
+        every(REPORT_INTERVAL, "report") { link.tick() }
+        every(TRIM_INTERVAL, "connections") {
+            pool.closeStale(slots.targets.mapTo(HashSet()) { it.address })
+        }
         startDetachedTasks()
         log.info("host_started", "data_centre" to settings.dataCentre)
     }
@@ -229,17 +234,18 @@
         while (callers.busyCount > 0 && clock.now() < until) delay(STOP_POLL_INTERVAL)
     }
 
-    private fun every(interval: Duration, step: () -> Unit): Job = scope.launch {
-        while (true) {
-            step()
-            delay(interval)
-        }
-    }
+    private fun every(interval: Duration, name: String, step: () -> Unit): Job =
+        scope.launch { repeatContained(interval, log.failureOf(name)) { step() } }
 
     private fun startDetachedTasks() {
         if (detachedTasks.isNotEmpty()) return
         detachedTasks =
-            listOf(every(LOCAL_SCHEDULER_TICK) { slots.tick() }, scope.launch { poller.run() })
+            listOf(
+                every(LOCAL_SCHEDULER_TICK, "scheduler") {
+                    slots.tick()
+                },
+                scope.launch { poller.run() }
+            )
     }
 
     private fun stopDetachedTasks() {
@@ -314,8 +320,9 @@
         coroutineScope {
             val work: Job = launch {
                 val left = request.deadline - clock.now()
-                result = withTimeoutOrNull(left) { relay.run() }
-                    ?: resultAtDeadline(relay, connection)
+                result = contain(log.failureOf("relay of ${request.traits.id}")) {
+                    withTimeoutOrNull(left) { relay.run() } ?: resultAtDeadline(relay, connection)
+                } ?: resultOfFailure(relay, connection)
             }
             val watcher = launch {
                 if (!connection.awaitDisconnect()) return@launch
@@ -350,6 +357,13 @@
             else -> RelayResult.Refused(EntryRefusal.TimedOutWaiting)
         }
 
+    private fun resultOfFailure(relay: RequestRelay, connection: HttpConnection): RelayResult =
+        when {
+            connection.isResponseStarted -> RelayResult.Broken("internal error")
+            relay.mayHaveRun -> RelayResult.Refused(EntryRefusal.AnswerLost)
+            else -> RelayResult.Refused(EntryRefusal.InternalError)
+        }
+
     private fun resultAtStop(relay: RequestRelay) = RelayResult.Refused(
         if (relay.mayHaveRun) EntryRefusal.AnswerLost else EntryRefusal.HostStopping
     )
--- a/daemon/src/main/kotlin/io/primroseflow/daemon/entry/EntryRefusal.kt
+++ b/daemon/src/main/kotlin/io/primroseflow/daemon/entry/EntryRefusal.kt
@@ -40,6 +40,9 @@
     TargetsBusy("targets_busy", 503, 500.milliseconds),
     HostStopping("host_stopping", 503, 100.milliseconds),
 
+    /** This host failed in an unexpected way before it sent the request to a target. */
+    InternalError("internal_error", 503, 500.milliseconds),
+
     /** A part of the prompt has ended targets; the request would end the next one. */
     Quarantined("quarantined", 503),
 
--- a/daemon/src/main/kotlin/io/primroseflow/daemon/fleet/TargetDirectory.kt
+++ b/daemon/src/main/kotlin/io/primroseflow/daemon/fleet/TargetDirectory.kt
@@ -3,6 +3,8 @@
 import com.github.michaelbull.result.Result
 import com.github.michaelbull.result.mapBoth
 import io.primroseflow.daemon.EventLog
+import io.primroseflow.daemon.contain
+import io.primroseflow.daemon.failureOf
 import io.primroseflow.fleet.FleetTarget
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
@@ -45,7 +47,7 @@
     suspend fun run() {
         while (true) {
             if (isDue()) {
-                readOnce()
+                contain(log.failureOf("directory")) { readOnce() }
                 delay(interval)
             } else {
                 delay(DUE_CHECK_INTERVAL)
--- a/daemon/src/main/kotlin/io/primroseflow/daemon/http/HttpListener.kt
+++ b/daemon/src/main/kotlin/io/primroseflow/daemon/http/HttpListener.kt
@@ -1,6 +1,8 @@
 package io.primroseflow.daemon.http
 
 import io.primroseflow.daemon.EventLog
+import io.primroseflow.daemon.contain
+import io.primroseflow.daemon.failureOf
 import io.primroseflow.daemon.socket.EventLoop
 import io.primroseflow.daemon.socket.ListeningSocket
 import io.primroseflow.daemon.socket.StreamSocket
@@ -87,7 +89,8 @@
     private fun accept(socket: StreamSocket) {
         val connection = HttpConnection(socket)
         connections += connection
-        scope.launch { serve(connection) }.invokeOnCompletion { connections -= connection }
+        scope.launch { contain(log.failureOf("caller connection")) { serve(connection) } }
+            .invokeOnCompletion { connections -= connection }
     }
 
     private suspend fun serve(connection: HttpConnection) {
--- a/daemon/src/main/kotlin/io/primroseflow/daemon/json/ForeignJson.kt
+++ b/daemon/src/main/kotlin/io/primroseflow/daemon/json/ForeignJson.kt
@@ -1,5 +1,6 @@
 package io.primroseflow.daemon.json
 
+import kotlinx.serialization.KSerializer
 import kotlinx.serialization.SerializationException
 import kotlinx.serialization.json.Json
 import kotlinx.serialization.json.JsonElement
@@ -38,6 +39,16 @@
     }
 }
 
+private val lenientJson = Json { ignoreUnknownKeys = true }
+
+/** Decodes [element], or returns `null` if it does not have the form of [serializer]. */
+internal fun <T> decodeOrNull(serializer: KSerializer<T>, element: JsonElement): T? = try {
+    lenientJson.decodeFromJsonElement(serializer, element)
+} catch (_: IllegalArgumentException) {
+    // SerializationException is one of these, and so is a value that a class refuses.
+    null
+}
+
 private fun parseOrNull(text: String): JsonElement? {
     if (text.length > MAX_ELEMENT_CHARACTERS || depthOf(text) > MAX_DEPTH) return null
     return try {
--- a/daemon/src/main/kotlin/io/primroseflow/daemon/peer/PeerFrames.kt
+++ b/daemon/src/main/kotlin/io/primroseflow/daemon/peer/PeerFrames.kt
@@ -52,12 +52,19 @@
  * @throws PeerProtocolException if the length of the frame is out of range
  * @throws kotlinx.serialization.SerializationException if the frame is malformed
  */
-internal suspend fun ByteReadChannel.readFrame(): PeerFrame {
+internal suspend fun ByteReadChannel.readFrame(): PeerFrame = decodeFrame(readFrameBytes())
+
+/**
+ * Reads the bytes of the next frame, to be decoded by [decodeFrame].
+ *
+ * @throws PeerProtocolException if the length of the frame is out of range
+ */
+internal suspend fun ByteReadChannel.readFrameBytes(): ByteArray {
     val size = readInt()
     if (size !in
         1..MAX_FRAME_BYTES
     ) {
         throw PeerProtocolException("frame length $size is not in 1..$MAX_FRAME_BYTES")
     }
-    return decodeFrame(readByteArray(size))
+    return readByteArray(size)
 }
--- a/daemon/src/main/kotlin/io/primroseflow/daemon/peer/PeerLinks.kt
+++ b/daemon/src/main/kotlin/io/primroseflow/daemon/peer/PeerLinks.kt
@@ -3,6 +3,7 @@
 import io.ktor.utils.io.ByteReadChannel
 import io.ktor.utils.io.ByteWriteChannel
 import io.primroseflow.daemon.PeerAddress
+import io.primroseflow.daemon.contain
 import io.primroseflow.daemon.socket.EventLoop
 import io.primroseflow.daemon.socket.ListeningSocket
 import io.primroseflow.daemon.socket.StreamSocket
@@ -113,7 +114,9 @@
      */
     suspend fun listen(address: String, port: Int): Int {
         val bound = loop.listen(address, port, ACCEPT_BACKLOG) { socket ->
-            scope.launch(loop.dispatcher) { serve(socket) }
+            scope.launch(loop.dispatcher) {
+                contain({ log.error("an incoming connection failed", it) }) { serve(socket) }
+            }
         }
         listening = bound
         return bound.port
@@ -150,7 +153,9 @@
                 link.discardAll()
                 continue
             }
-            runConnection(to, address, link)
+            contain({ log.error("the connection to {} failed", to, it) }) {
+                runConnection(to, address, link)
+            }
             traffic.redials.incrementAndGet()
             delay(REDIAL_DELAY)
         }
@@ -264,7 +269,13 @@
         }
         hybridClock.observe(hello.at)
         while (true) {
-            val frame = readFrameWithin(input, IDLE_TIMEOUT + RESPONSE_TIMEOUT)
+            val bytes =
+                withTimeoutOrNull(IDLE_TIMEOUT + RESPONSE_TIMEOUT) { input.readFrameBytes() }
+                    ?: throw IOException("no frame from the other host")
+            // A frame that cannot be decoded costs only the messages in it.
+            val frame = contain({ log.warn("{} sent a bad frame: {}", hello.from, "$it") }) {
+                decodeFrame(bytes)
+            } ?: continue
             receive(hello, frame)
             if (frame is PeerFrame.Ping) write(output, PeerFrame.Pong(frame.number))
         }
@@ -277,7 +288,9 @@
         for (message in frame.messages) {
             // A replica that has lost its disk has a new id and must not act under its old one.
             if (message is PeerMessage.Replication && hello.to != self) continue
-            handler.handle(hello.from, message)
+            contain({ log.error("a message of {} failed", hello.from, it) }) {
+                handler.handle(hello.from, message)
+            }
         }
     }
 }
--- a/daemon/src/main/kotlin/io/primroseflow/daemon/platform/PlatformListPoller.kt
+++ b/daemon/src/main/kotlin/io/primroseflow/daemon/platform/PlatformListPoller.kt
@@ -1,6 +1,8 @@
 package io.primroseflow.daemon.platform
 
 import io.ktor.client.HttpClient
+import io.primroseflow.daemon.json.ForeignJson
+import io.primroseflow.daemon.json.decodeOrNull
 import io.primroseflow.daemon.target.TargetConcern
 import io.primroseflow.daemon.target.TargetConditionTracker
 import io.primroseflow.daemon.target.textOrNull
@@ -10,8 +12,6 @@
 import kotlinx.coroutines.delay
 import kotlinx.serialization.SerialName
 import kotlinx.serialization.Serializable
-import kotlinx.serialization.SerializationException
-import kotlinx.serialization.json.Json
 
 private val POLL_INTERVAL: Duration = 1.seconds
 
@@ -31,9 +31,14 @@
 @Serializable
 internal data class ListedTarget(val name: String, val state: ListedState)
 
-/** The platform's list of hosts, as sent by the platform. */
-@Serializable
-internal data class PlatformList(val hosts: List<ListedTarget> = emptyList())
+/**
+ * Returns the entries of the platform's list of hosts, `null` if [text] is no such list. An entry
+ * that is malformed or in an unknown state is left out.
+ */
+internal fun listedTargetsOrNull(text: String): List<ListedTarget>? =
+    ForeignJson.ofOrNull(text)?.elementsOrNull("hosts")?.mapNotNull { element ->
+        element?.let { decodeOrNull(ListedTarget.serializer(), it) }
+    }
 
 /**
  * Polls the platform's list of live and leaving hosts and takes leaving targets out of service.
@@ -48,25 +53,15 @@
     private val url: String,
     private val tracker: TargetConditionTracker
 ) {
-    private val json = Json { ignoreUnknownKeys = true }
-
     /** Polls the list until cancelled. */
     suspend fun run() {
         while (true) {
-            val list = fetchOrNull()
-            list?.hosts?.forEach {
+            val text = client.textOrNull("$url/hosts", POLL_TIMEOUT)
+            text?.let(::listedTargetsOrNull)?.forEach {
                 val isLeaving = it.state == ListedState.Leaving
                 tracker.update(TargetId(it.name), TargetConcern.ListedAsLeaving, isLeaving)
             }
             delay(POLL_INTERVAL)
         }
     }
-
-    private suspend fun fetchOrNull(): PlatformList? = try {
-        client.textOrNull("$url/hosts", POLL_TIMEOUT)?.let(::decode)
-    } catch (_: SerializationException) {
-        null
-    }
-
-    private fun decode(text: String) = json.decodeFromString(PlatformList.serializer(), text)
 }
--- a/daemon/src/main/kotlin/io/primroseflow/daemon/scheduling/PoolTasks.kt
+++ b/daemon/src/main/kotlin/io/primroseflow/daemon/scheduling/PoolTasks.kt
@@ -1,6 +1,7 @@
 package io.primroseflow.daemon.scheduling
 
 import io.primroseflow.daemon.DaemonSettings
+import io.primroseflow.daemon.launchLasting
 import io.primroseflow.model.PoolId
 import io.primroseflow.policy.Policy
 import io.primroseflow.policy.Pool
@@ -47,7 +48,7 @@
             }
             val task = PoolTask(schedulerSettings, clock)
             tasks[pool.id] = task
-            scope.launch { task.run() }
+            scope.launchLasting("pool") { task.run() }
         }
     }
 
--- a/daemon/src/main/kotlin/io/primroseflow/daemon/socket/EventLoop.kt
+++ b/daemon/src/main/kotlin/io/primroseflow/daemon/socket/EventLoop.kt
@@ -48,14 +48,23 @@
  *
  * Sockets of this loop must be used only by coroutines of its [dispatcher], which read and write
  * them without a change of threads.
+ *
+ * @param onEnded called if the thread ends before the loop is closed; nothing can be served then
  */
-internal class EventLoop(name: String) : AutoCloseable {
+internal class EventLoop(name: String, onEnded: () -> Unit = {}) : AutoCloseable {
     private val group = MultiThreadIoEventLoopGroup(
         1,
         DefaultThreadFactory(name, true),
         NioIoHandler.newFactory()
     )
 
+    @Volatile
+    private var isClosed = false
+
+    init {
+        group.terminationFuture().addListener { if (!isClosed) onEnded() }
+    }
+
     /** Runs coroutines on the thread of this loop. */
     val dispatcher: CoroutineDispatcher = group.next().asCoroutineDispatcher()
 
@@ -102,6 +111,7 @@
     }
 
     override fun close() {
+        isClosed = true
         group.shutdownGracefully()
     }
 
--- a/daemon/src/main/kotlin/io/primroseflow/daemon/target/TargetConnectionPools.kt
+++ b/daemon/src/main/kotlin/io/primroseflow/daemon/target/TargetConnectionPools.kt
@@ -8,6 +8,7 @@
 import io.ktor.utils.io.availableForRead
 import io.ktor.utils.io.writeFully
 import io.ktor.utils.io.writePacket
+import io.primroseflow.daemon.contain
 import io.primroseflow.daemon.http.HttpAnswerHead
 import io.primroseflow.daemon.http.HttpField
 import io.primroseflow.daemon.http.parsingHttp
@@ -138,16 +139,19 @@
         return null
     }
 
-    /** Opens a connection to [address]; returns `null` if the target cannot be reached. */
-    suspend fun openOrNull(address: String): PooledConnection? = try {
-        val host = address.substringBeforeLast(':')
-        val port = address.substringAfterLast(':').toInt()
-        val socket = withTimeoutOrNull(CONNECT_TIMEOUT) { loop.connect(host, port) }
-        if (socket != null) openedCount++
-        socket?.let { PooledConnection(it, address) }
-    } catch (_: IOException) {
+    /**
+     * Opens a connection to [address]; returns `null` if the target cannot be reached, also if the
+     * address is impossible.
+     */
+    suspend fun openOrNull(address: String): PooledConnection? {
         // The caller logs the unreachable target together with the request.
-        null
+        val socket = contain({}) {
+            val host = address.substringBeforeLast(':')
+            val port = address.substringAfterLast(':').toInt()
+            withTimeoutOrNull(CONNECT_TIMEOUT) { loop.connect(host, port) }
+        }
+        if (socket != null) openedCount++
+        return socket?.let { PooledConnection(it, address) }
     }
 
     /**
--- a/daemon/src/main/kotlin/io/primroseflow/daemon/target/TargetPoller.kt
+++ b/daemon/src/main/kotlin/io/primroseflow/daemon/target/TargetPoller.kt
@@ -1,6 +1,8 @@
 package io.primroseflow.daemon.target
 
 import io.ktor.client.HttpClient
+import io.primroseflow.daemon.json.ForeignJson
+import io.primroseflow.daemon.json.decodeOrNull
 import io.primroseflow.model.TargetId
 import io.primroseflow.model.Tokens
 import io.primroseflow.policy.Target
@@ -10,7 +12,6 @@
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 import kotlinx.coroutines.delay
-import kotlinx.serialization.KSerializer
 import kotlinx.serialization.SerialName
 import kotlinx.serialization.Serializable
 import kotlinx.serialization.SerializationException
@@ -38,9 +39,10 @@
 @Serializable
 internal data class CacheEventMessage(val seq: Long, val digest: Long, val present: Boolean)
 
-/** The changes of a target's prefix cache after a given sequence number. */
-@Serializable
-internal data class CacheEventsMessage(val events: List<CacheEventMessage> = emptyList())
+/** Largest count that a target is believed to state. */
+private const val MAX_STATED_COUNT = 1_000_000_000L
+
+private fun Long.inStatedRange(): Long = coerceIn(0, MAX_STATED_COUNT)
 
 /** Receives the results of polling targets. */
 internal interface TargetPollListener {
@@ -84,10 +86,11 @@
 
     private suspend fun pollLoad(): Boolean {
         val text = client.textOrNull(target.url + "/load", POLL_TIMEOUT) ?: return false
-        val message = decodeOrNull(LoadMessage.serializer(), text) ?: return true
-        val at = clock.now() - message.ageMillis.coerceAtLeast(0).milliseconds
-        val kvUsed = Tokens(message.kvUsedTokens)
-        listener.onLoad(target.id, LoadReport(message.running + message.waiting, kvUsed, at))
+        val message = loadOrNull(text) ?: return true
+        val at = clock.now() - message.ageMillis.inStatedRange().milliseconds
+        val load = (message.running.toLong() + message.waiting).inStatedRange().toInt()
+        val kvUsed = Tokens(message.kvUsedTokens.inStatedRange())
+        listener.onLoad(target.id, LoadReport(load, kvUsed, at))
         tracker.update(target.id, TargetConcern.SaysLeaving, message.leaving)
         return true
     }
@@ -95,15 +98,16 @@
     private suspend fun pollCacheEvents() {
         val url = "${target.url}/cache/events?after=$lastEventSeq"
         val text = client.textOrNull(url, POLL_TIMEOUT) ?: return
-        val message = decodeOrNull(CacheEventsMessage.serializer(), text) ?: return
-        for (event in message.events) {
+        for (element in ForeignJson.ofOrNull(text)?.elementsOrNull("events").orEmpty()) {
+            val event =
+                element?.let { decodeOrNull(CacheEventMessage.serializer(), it) } ?: continue
             lastEventSeq = maxOf(lastEventSeq, event.seq)
             listener.onPrefix(target.id, event.digest, event.present)
         }
     }
 
-    private fun <T> decodeOrNull(serializer: KSerializer<T>, text: String): T? = try {
-        json.decodeFromString(serializer, text)
+    private fun loadOrNull(text: String): LoadMessage? = try {
+        json.decodeFromString(LoadMessage.serializer(), text)
     } catch (_: SerializationException) {
         null
     }
--- a/daemon/src/main/kotlin/io/primroseflow/daemon/target/TargetPollers.kt
+++ b/daemon/src/main/kotlin/io/primroseflow/daemon/target/TargetPollers.kt
@@ -1,6 +1,7 @@
 package io.primroseflow.daemon.target
 
 import io.ktor.client.HttpClient
+import io.primroseflow.daemon.launchLasting
 import io.primroseflow.model.TargetId
 import io.primroseflow.policy.Policy
 import io.primroseflow.policy.Target
@@ -32,7 +33,8 @@
         }
         for (target in targets.values - running.values.map { it.target }.toSet()) {
             val poller = TargetPoller(client, target, clock, tracker, listener)
-            running[target.id] = RunningPoller(target, scope.launch { poller.run() })
+            running[target.id] =
+                RunningPoller(target, scope.launchLasting("poll of ${target.id}") { poller.run() })
         }
     }
 }
--- a/daemon/src/test/kotlin/io/primroseflow/daemon/entry/FakeTarget.kt
+++ b/daemon/src/test/kotlin/io/primroseflow/daemon/entry/FakeTarget.kt
@@ -42,7 +42,8 @@
     /** Number of connections that the other side has closed. */
     val closed = AtomicInteger()
 
-    val address: String get() = "127.0.0.1:${server.localPort}"
+    /** The address by which the target is listed. */
+    var address: String = "127.0.0.1:${server.localPort}"
 
     init {
         thread(isDaemon = true) { acceptAll() }
--- a/daemon/src/test/kotlin/io/primroseflow/daemon/entry/RoutedHostsTest.kt
+++ b/daemon/src/test/kotlin/io/primroseflow/daemon/entry/RoutedHostsTest.kt
@@ -241,6 +241,22 @@
             }
         }
 
+        describe("a target that is listed at an impossible address") {
+            // LOST: a request that was granted to it was closed without an answer.
+            it("is unreachable, and its requests are refused or sent elsewhere") {
+                for (impossible in listOf("127.0.0.1:70000", "999.0.0.1:80", "127.0.0.1:", "x")) {
+                    val odd = FakeTarget(serves).apply { address = impossible }
+                    withHosts(odd) {
+                        call("/once/1", id = "r1") shouldStartWith "HTTP/1.1 503"
+                    }
+                    val sound = FakeTarget(serves)
+                    withHosts(FakeTarget(serves).apply { address = impossible }, sound) {
+                        repeat(4) { call("/safe/$it", id = "s$it") shouldStartWith "HTTP/1.1 200" }
+                    }
+                }
+            }
+        }
+
         describe("a stream") {
             it("interrupted within an event resumes at another target without repeating events") {
                 val targets = Array(2) { FakeTarget(serves) }
--- a/daemon/src/test/kotlin/io/primroseflow/daemon/peer/PeerLinksTest.kt
+++ b/daemon/src/test/kotlin/io/primroseflow/daemon/peer/PeerLinksTest.kt
@@ -29,6 +29,9 @@
 private fun address(host: HostId, port: Int) =
     PeerAddress(host, DataCentreId("here"), "127.0.0.1", port)
 
+/** A message that the handler of a [TestPeer] fails on. */
+private val oddMessage = message(-1)
+
 private class TestPeer(name: HostId) : AutoCloseable {
     val received = CopyOnWriteArrayList<PeerMessage>()
     val lost = CopyOnWriteArrayList<HostId>()
@@ -42,7 +45,10 @@
             clock = MonotonicClock(),
             hybridClock = HybridClock(Clock.System),
             onLost = { lost += it }
-        ) { _, message -> received += message }
+        ) { _, message ->
+            check(message != oddMessage) { "odd" }
+            received += message
+        }
 
     override fun close() {
         scope.cancel()
@@ -54,6 +60,25 @@
 class PeerLinksTest :
     DescribeSpec({
         describe("a link") {
+            // One message that the receiver failed on ended the connection with all behind it, and
+            // on a control host everything that ran beside it.
+            it("loses only the message that its receiver fails on") {
+                TestPeer(a).use { from ->
+                    TestPeer(b).use { to ->
+                        val port = to.links.listen("127.0.0.1", 0)
+                        from.links.updateAddresses(listOf(address(b, port)))
+                        val sound = (1L..50).map(::message)
+                        sound.forEach {
+                            from.links.send(b, it)
+                            from.links.send(b, oddMessage)
+                        }
+                        awaitTrue { to.received.size == sound.size }
+                        to.received.toList() shouldBe sound
+                        from.lost.size shouldBe 0
+                    }
+                }
+            }
+
             it("carries messages in order") {
                 TestPeer(a).use { from ->
                     TestPeer(b).use { to ->
