Give a silent target up only when another one can take over

Cause: after 1.5 s without an event (0.3 s without an answer to an idempotent call) the host closed the connection to the target first and asked for a slot elsewhere afterwards. If there was none, the stream was broken off and the caller's connection closed, or the call answered 504.

Fix: a silent target goes on being read while a slot at another one is sought. What comes first decides: the exchange moves on when the slot is granted, and the search ends when the target goes on. One watchdog for each exchange replaces a timer for each read.

--- a/daemon/src/main/kotlin/io/primroseflow/daemon/entry/RequestRelay.kt
+++ b/daemon/src/main/kotlin/io/primroseflow/daemon/entry/RequestRelay.kt
@@ -28,16 +28,16 @@
  */
 private const val MAX_EXTRA_DISPATCHES = 2
 
-/** Time without an event after which a resumable stream is resumed at another target. */
+/** Time without an event after which another target is sought to resume a resumable stream. */
 private val RESUMABLE_GAP_TIMEOUT: Duration = 1_500.milliseconds
 
-/** Time without a first event after which a repeatable stream is sent to another target. */
+/** Time without a first event after which another target is sought for a repeatable stream. */
 private val FIRST_EVENT_TIMEOUT: Duration = 2.seconds
 
 /** Additional time for each token of the prompt; slow engines take 0.033 ms (30 per ms). */
 private val FIRST_EVENT_TIMEOUT_PER_TOKEN: Duration = 0.05.milliseconds
 
-/** Time without an answer after which an idempotent request is sent to another target. */
+/** Time without an answer after which another target is sought for an idempotent request. */
 private val RETRY_TIMEOUT: Duration = 300.milliseconds
 
 /** Time from the first event of an answer for which it counts as just begun. */
@@ -76,6 +76,9 @@
     private var withheldFrom: TargetId? = null
     private var lastFailure: ExchangeResult.Buffered? = null
 
+    /** Slot at a target that takes over from a silent one, `null` if there is none. */
+    private var replacement: DecidedSlot? = null
+
     /** Whether a dispatch has arrived at a target, so that the next one counts as a retry. */
     private var hasReachedTarget = false
     private var lastCause = ""
@@ -106,18 +109,21 @@
     val cause: String get() = lastCause
 
     /** Relays the request and returns how it ended. */
-    suspend fun run(): RelayResult {
+    suspend fun run(): RelayResult = try {
+        runAttempts()
+    } finally {
+        dropReplacement()
+    }
+
+    private suspend fun runAttempts(): RelayResult {
         while (true) {
-            val askedAt = clock.now()
-            val slotRequest = nextSlotRequest()
-            val decision = context.slots.acquire(slotRequest)
-            waitedFor += clock.now() - askedAt
-            when (decision) {
+            val slot = takeReplacementOrNull() ?: acquire()
+            when (val decision = slot.decision) {
                 is SlotDecision.Refuse -> return resultOfRefusal(decision)
 
                 is SlotDecision.Grant -> {
                     isCharged = true
-                    val result = dispatch(slotRequest, decision.target)
+                    val result = dispatch(slot.request, decision.target)
                     if (result == ExchangeResult.Withheld) onWithheld(decision.target.id)
                     resultOrNull(result)?.let { return it }
                 }
@@ -125,7 +131,21 @@
         }
     }
 
-    private fun nextSlotRequest(): SlotRequest {
+    private suspend fun acquire(): DecidedSlot {
+        val askedAt = clock.now()
+        val slotRequest = nextSlotRequest(excluded, hasReachedTarget)
+        val decision = context.slots.acquire(slotRequest)
+        waitedFor += clock.now() - askedAt
+        return DecidedSlot(slotRequest, decision)
+    }
+
+    private fun takeReplacementOrNull(): DecidedSlot? = replacement.also { replacement = null }
+
+    private fun dropReplacement() {
+        takeReplacementOrNull()?.let { context.slots.release(it.request.ticket, SlotEnd.Cancelled) }
+    }
+
+    private fun nextSlotRequest(without: Set<TargetId>, isRetry: Boolean): SlotRequest {
         val traits = request.traits
         // After a stream has begun, the progress timeout starts anew with each slot request.
         val waitsSince = if (hasStream) clock.now() else request.arrivedAt
@@ -143,8 +163,8 @@
             outputHint = traits.outputHint,
             outputLimit = traits.outputLimit ?: 0,
             parts = traits.parts,
-            excluded = excluded.toSet(),
-            isRetry = hasReachedTarget,
+            excluded = without.toSet(),
+            isRetry = isRetry,
             arrivedAt = request.arrivedAt,
             goal = request.arrivedAt + route.latencyGoal,
             startBy = minOf(request.deadline, waitsSince + route.callerProgressTimeout),
@@ -182,7 +202,7 @@
         var end: SlotEnd = SlotEnd.Cancelled
         dispatches++
         targets += target.id
-        val listener = Listener()
+        val listener = Listener(target.id)
         try {
             val result = context.exchanger.run(dispatchTo(target), listener)
             if (result is ExchangeResult.Failed) logFailure(target.id, result, listener)
@@ -235,7 +255,8 @@
         val traits = DispatchTraits(timeLeft, target.id, request.team?.id, lastEventId)
         val isRepeatable = route.repeatability != Repeatability.NonIdempotent
         // Without another target to retry at, a slow answer is no reason to give up early.
-        val canRetryElsewhere = isRepeatable && attempts + 1 < route.maxAttempts
+        val canRetryElsewhere = isRepeatable && attempts + 1 < route.maxAttempts &&
+            dispatches < route.maxAttempts + MAX_EXTRA_DISPATCHES
         return Dispatch(
             target = target.id,
             id = request.traits.id,
@@ -247,7 +268,8 @@
             isStream = route.isStream,
             maxIdle = if (isRepeatable) Duration.INFINITE else NON_IDEMPOTENT_MAX_IDLE,
             firstTimeout = if (canRetryElsewhere) firstTimeout(timeLeft) else timeLeft,
-            gapTimeout = if (canRetryElsewhere) RESUMABLE_GAP_TIMEOUT else timeLeft
+            gapTimeout = if (canRetryElsewhere) RESUMABLE_GAP_TIMEOUT else timeLeft,
+            isReplaceable = canRetryElsewhere
         )
     }
 
@@ -380,7 +402,7 @@
         }
     }
 
-    private inner class Listener : ExchangeListener {
+    private inner class Listener(private val target: TargetId) : ExchangeListener {
         var firstAt: Instant? = null
             private set
 
@@ -401,8 +423,20 @@
             writeToCaller { connection.writeChunk(bytes, 0, length) }
             lastEventId = lastId ?: lastEventId
         }
+
+        override suspend fun awaitReplacement(): Boolean {
+            val slotRequest = nextSlotRequest(excluded + target, isRetry = true)
+            val decision = context.slots.acquire(slotRequest)
+            if (decision is SlotDecision.Refuse) return false
+            replacement = DecidedSlot(slotRequest, decision)
+            return true
+        }
+
+        override fun onReplacementUnused() = dropReplacement()
     }
 
+    private class DecidedSlot(val request: SlotRequest, val decision: SlotDecision)
+
     private companion object {
         const val OK = 200
         const val FIRST_SERVER_ERROR = 500
--- a/daemon/src/main/kotlin/io/primroseflow/daemon/target/TargetExchanges.kt
+++ b/daemon/src/main/kotlin/io/primroseflow/daemon/target/TargetExchanges.kt
@@ -9,13 +9,16 @@
 import java.io.ByteArrayOutputStream
 import java.io.IOException
 import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.TimeSource
+import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.CoroutineStart
-import kotlinx.coroutines.cancel
+import kotlinx.coroutines.async
+import kotlinx.coroutines.cancelAndJoin
 import kotlinx.coroutines.coroutineScope
+import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
-import kotlinx.coroutines.withTimeoutOrNull
 
 private const val READ_BUFFER_BYTES = 8 * 1024
 
@@ -28,6 +31,9 @@
 /** Maximum number of late answers to earlier requests that are skipped on one connection. */
 private const val MAX_SKIPPED_ANSWERS = 2
 
+/** Interval at which it is checked whether a silent target has gone on. */
+private val PROGRESS_POLL_INTERVAL: Duration = 20.milliseconds
+
 private const val HTTP_MISDIRECTED_REQUEST = 421
 
 private val successStatuses = 200..299
@@ -53,9 +59,11 @@
  * @property address host and port of the target
  * @property isStream whether a successful answer is forwarded event by event
  * @property maxIdle maximum time for which a reused connection may have been idle
- * @property firstTimeout time limit for the head of the answer, and for the first event of a stream
- *   after the head
- * @property gapTimeout time limit for each further event of a stream, however many bytes arrive
+ * @property firstTimeout time without the head of the answer, or without the first event of a
+ *   stream after the head, from which the target counts as silent
+ * @property gapTimeout the same for each further event of a stream, however many bytes arrive
+ * @property isReplaceable whether another target may take over from a silent one. The exchange then
+ *   goes on until one can; otherwise it fails at once
  */
 internal class Dispatch(
     val target: TargetId,
@@ -68,7 +76,8 @@
     val isStream: Boolean,
     val maxIdle: Duration,
     val firstTimeout: Duration,
-    val gapTimeout: Duration
+    val gapTimeout: Duration,
+    val isReplaceable: Boolean
 )
 
 /** The result of [TargetExchanger.run]. */
@@ -120,6 +129,16 @@
      * @param lastId id of the last event that has one, or `null` if none has
      */
     suspend fun onEvents(bytes: ByteArray, length: Int, lastId: String?)
+
+    /**
+     * Waits until another target can take over, as this one is silent. Cancelled if it goes on.
+     *
+     * @return `false` if none can at present
+     */
+    suspend fun awaitReplacement(): Boolean
+
+    /** The target goes on, so a replacement that was found is not needed. */
+    fun onReplacementUnused()
 }
 
 /** Runs exchanges with targets over pooled connections. */
@@ -172,14 +191,64 @@
         private val isWritten = CompletableDeferred<Unit>()
         private val startedAt = time.markNow()
 
+        /** Time without progress from which the target counts as silent. */
+        private var silenceLimit = dispatch.firstTimeout
+        private var quietSince = startedAt
+        private var progress = 0
+
         suspend fun run(): ExchangeResult = coroutineScope {
             listener.onWriteStarting()
             // A target may answer before it has read the whole body, so both run concurrently.
             val writer = launch(start = CoroutineStart.UNDISPATCHED) { write() }
-            val result = readAnswer()
-            isReusable = isReusable && isWritten.isCompleted
-            writer.cancel()
-            result
+            val reader = async(start = CoroutineStart.UNDISPATCHED) { readAnswer() }
+            var silence: Duration? = null
+            val watchdog = launch {
+                silence = awaitSilence()
+                reader.cancel()
+            }
+            try {
+                reader.await()
+            } catch (e: CancellationException) {
+                ExchangeResult.Failed("silent for ${silence ?: throw e}")
+            } finally {
+                isReusable = isReusable && isWritten.isCompleted
+                writer.cancel()
+                watchdog.cancel()
+            }
+        }
+
+        /** Returns how long the target has been silent once the exchange is to be given up. */
+        private suspend fun awaitSilence(): Duration {
+            while (true) {
+                val left = silenceLimit - quietSince.elapsedNow()
+                if (left > Duration.ZERO) {
+                    delay(left)
+                    continue
+                }
+                if (!dispatch.isReplaceable || isReplacementFound()) return silenceLimit
+            }
+        }
+
+        /** Returns whether another target can take over before this one goes on. */
+        private suspend fun isReplacementFound(): Boolean = coroutineScope {
+            val before = progress
+            val replacement = async { listener.awaitReplacement() }
+            while (replacement.isActive && progress == before) delay(PROGRESS_POLL_INTERVAL)
+            if (progress != before) {
+                replacement.cancelAndJoin()
+                listener.onReplacementUnused()
+                return@coroutineScope false
+            }
+            val isFound = replacement.await()
+            // If there is none, the target has as much time again to go on.
+            if (!isFound) quietSince = time.markNow()
+            isFound
+        }
+
+        private fun onProgress(nextLimit: Duration) {
+            progress++
+            quietSince = time.markNow()
+            silenceLimit = nextLimit
         }
 
         private suspend fun write() {
@@ -192,8 +261,7 @@
         }
 
         private suspend fun readAnswer(): ExchangeResult {
-            val head = withTimeoutOrNull(dispatch.firstTimeout) { readMatchingHead() }
-                ?: return ExchangeResult.Failed("no answer in ${dispatch.firstTimeout}")
+            val head = readMatchingHead()
             val traits = dialect.readAnswer(head.status, head.fields)
             idleLimit = traits.idleLimit
             val framing = framingOf(head)
@@ -206,7 +274,11 @@
                     "successful answer is unsigned or lacks the request id"
                 )
             }
-            if (isSuccess && dispatch.isStream) return readStream(head, framing)
+            if (isSuccess && dispatch.isStream) {
+                onProgress(dispatch.firstTimeout)
+                return readStream(head, framing)
+            }
+            onProgress(Duration.INFINITE)
             return readBuffered(head, framing, traits)
         }
 
@@ -248,20 +320,15 @@
             val body = framing.source(connection.input)
             val splitter = EventSplitter()
             val buffer = ByteArray(READ_BUFFER_BYTES)
-            var timeout = dispatch.firstTimeout
-            var lastEventAt = time.markNow()
             var events = 0
             var hasStarted = false
             while (true) {
-                val left = (timeout - lastEventAt.elapsedNow()).coerceAtLeast(Duration.ZERO)
-                val count = withTimeoutOrNull(left) { body.read(buffer) }
-                    ?: return ExchangeResult.Failed("no event in $timeout")
+                val count = body.read(buffer)
                 if (count < 0) break
                 splitter.add(buffer, count)
                 if (splitter.eventCount > events) {
                     events = splitter.eventCount
-                    timeout = dispatch.gapTimeout
-                    lastEventAt = time.markNow()
+                    onProgress(dispatch.gapTimeout)
                 }
                 if (splitter.completeLength == 0) continue
                 if (!hasStarted) listener.onStream(head)
