Send a request again on another connection than the one that carried it

Cause: a late answer is told from the expected one by the id of its request, which does not tell two sends of the same request apart. The second send took the connection on which the first had been rejected, met the second copy of that rejection and was sent a third time, although the target ran it.

Fix: a relay remembers the connections that carried its request, and sends it again on none of them.

--- a/daemon/src/main/kotlin/io/primroseflow/daemon/entry/RequestRelay.kt
+++ b/daemon/src/main/kotlin/io/primroseflow/daemon/entry/RequestRelay.kt
@@ -6,6 +6,7 @@
 import io.primroseflow.daemon.target.Dispatch
 import io.primroseflow.daemon.target.ExchangeListener
 import io.primroseflow.daemon.target.ExchangeResult
+import io.primroseflow.daemon.target.PooledConnection
 import io.primroseflow.fleet.AnswerLoss
 import io.primroseflow.fleet.FleetTarget
 import io.primroseflow.fleet.SlotDecision
@@ -64,6 +65,7 @@
     private val clock = context.clock
     private val route = request.route
     private val excluded = HashSet<TargetId>()
+    private val carriedOn = HashSet<PooledConnection>()
     private var lastEventId: String? = null
     private var hasStream = false
     private var dispatches = 0
@@ -266,6 +268,7 @@
             body = request.incoming.body,
             address = target.address,
             isStream = route.isStream,
+            carriedOn = carriedOn,
             maxIdle = if (isRepeatable) Duration.INFINITE else NON_IDEMPOTENT_MAX_IDLE,
             firstTimeout = if (canRetryElsewhere) firstTimeout(timeLeft) else timeLeft,
             gapTimeout = if (canRetryElsewhere) RESUMABLE_GAP_TIMEOUT else timeLeft,
--- a/daemon/src/main/kotlin/io/primroseflow/daemon/target/TargetConnectionPools.kt
+++ b/daemon/src/main/kotlin/io/primroseflow/daemon/target/TargetConnectionPools.kt
@@ -123,20 +123,30 @@
         private set
 
     /**
-     * Removes and returns an idle connection to [address] that was used within [maxIdle], or
-     * returns `null` if there is none.
+     * Removes and returns an idle connection to [address] that was used within [maxIdle] and is not
+     * one of [except], or returns `null` if there is none.
      */
-    fun acquireOrNull(address: String, maxIdle: Duration): PooledConnection? {
+    fun acquireOrNull(
+        address: String,
+        maxIdle: Duration,
+        except: Set<PooledConnection> = emptySet()
+    ): PooledConnection? {
         val queue = idle[address] ?: return null
         val now = clock.now()
-        while (true) {
+        var found: PooledConnection? = null
+        val excepted = ArrayList<PooledConnection>()
+        while (found == null) {
             val connection = queue.removeLastOrNull() ?: break
             val isFresh = now < connection.usableUntil && now - connection.idleSince <= maxIdle
-            if (isFresh && connection.isClean) return connection
-            connection.close()
+            when {
+                !isFresh || !connection.isClean -> connection.close()
+                connection in except -> excepted += connection
+                else -> found = connection
+            }
         }
-        idle.remove(address)
-        return null
+        queue.addAll(excepted.asReversed())
+        if (queue.isEmpty()) idle.remove(address)
+        return found
     }
 
     /**
--- a/daemon/src/main/kotlin/io/primroseflow/daemon/target/TargetExchanges.kt
+++ b/daemon/src/main/kotlin/io/primroseflow/daemon/target/TargetExchanges.kt
@@ -58,6 +58,8 @@
  * @property id request id that the target repeats in its answer
  * @property address host and port of the target
  * @property isStream whether a successful answer is forwarded event by event
+ * @property carriedOn connections on which the request was sent before, which the exchange adds to. On
+ *   these a late second copy of a former answer could not be told from the answer to this send
  * @property maxIdle maximum time for which a reused connection may have been idle
  * @property firstTimeout time without the head of the answer, or without the first event of a
  *   stream after the head, from which the target counts as silent
@@ -74,6 +76,7 @@
     val body: ByteArray,
     val address: String,
     val isStream: Boolean,
+    val carriedOn: MutableSet<PooledConnection>,
     val maxIdle: Duration,
     val firstTimeout: Duration,
     val gapTimeout: Duration,
@@ -154,7 +157,8 @@
     suspend fun run(dispatch: Dispatch, listener: ExchangeListener): ExchangeResult {
         val grantedAt = time.markNow()
         if (!conditions.isAvailable(dispatch.target)) return ExchangeResult.Withheld
-        val connection = pool.acquireOrNull(dispatch.address, dispatch.maxIdle)
+        val connection = pool
+            .acquireOrNull(dispatch.address, dispatch.maxIdle, dispatch.carriedOn)
             ?: pool.openOrNull(dispatch.address)
             ?: return ExchangeResult.NotRun(isUnreachable = true, cause = "no connection")
         // The condition may have changed while the connection was opened.
@@ -162,6 +166,7 @@
             connection.close()
             return ExchangeResult.Withheld
         }
+        dispatch.carriedOn += connection
         val exchange = Exchange(connection, dispatch, listener)
         var isReusable = false
         try {
@@ -291,10 +296,10 @@
                 val id = traits.id
                 // A misdirected request was answered by another target.
                 if (head.status != HTTP_MISDIRECTED_REQUEST) {
-                    val sentFor = startedAt.elapsedNow().takeIf { id == null || id == dispatch.id }
+                    val sentFor = startedAt.elapsedNow().takeIf { isOwn(id) }
                     conditions.onAnswer(dispatch.target, id, sentFor, traits.notice)
                 }
-                if (id == null || id == dispatch.id) return head
+                if (isOwn(id)) return head
                 if (++skipped > MAX_SKIPPED_ANSWERS) {
                     throw IOException("only answers to other requests")
                 }
@@ -302,6 +307,16 @@
             }
         }
 
+        /**
+         * Returns whether an answer with [id] is one to this request. One without an id counts
+         * as such.
+         */
+        private fun isOwn(id: String?): Boolean = when (id) {
+            dispatch.id -> true
+            null -> true
+            else -> false
+        }
+
         private suspend fun readBuffered(
             head: HttpAnswerHead,
             framing: BodyFraming,
