Bound the memory for the bodies of all requests and answers of an entry host

Cause: each body had a limit, but not all of them together; the heap was filled and the event loop ended. Answers had a common bound only until they were read, not until a slow caller had taken them, and the output copied a whole answer at once.

Fix: request bodies of a listener and buffered answers of a host have 24 MiB each, counted as the bytes arrive and until the request has ended. A body beyond that is read to its end and discarded, and its caller gets a 503 that says the request was not run, with Retry-After. Answers are written in parts of 64 KiB as the caller reads them, and an unread connection buffers 16 KiB instead of 64.

--- a/daemon/src/main/kotlin/io/primroseflow/daemon/entry/EntryHost.kt
+++ b/daemon/src/main/kotlin/io/primroseflow/daemon/entry/EntryHost.kt
@@ -10,6 +10,7 @@
 import io.primroseflow.daemon.fleet.PolicyDecoder
 import io.primroseflow.daemon.fleet.RoutedPolicyInForce
 import io.primroseflow.daemon.fleet.TargetDirectory
+import io.primroseflow.daemon.http.ByteBudget
 import io.primroseflow.daemon.http.HttpConnection
 import io.primroseflow.daemon.http.HttpField
 import io.primroseflow.daemon.http.HttpListener
@@ -52,6 +53,9 @@
 /** Interval at which this host reads the target directory while it is detached. */
 private val FALLBACK_POLL_INTERVAL: Duration = 1.seconds
 
+/** Maximum size of all answers that are read as a whole and not forwarded yet, in bytes. */
+private const val MAX_TOTAL_ANSWER_BYTES = 24L * 1024 * 1024
+
 private val STOP_POLL_INTERVAL: Duration = 50.milliseconds
 
 /**
@@ -142,6 +146,7 @@
         slots = slots,
         exchanger = TargetExchanger(pool, dialect, conditions),
         conditions = conditions,
+        answers = ByteBudget(MAX_TOTAL_ANSWER_BYTES),
         log = log
     )
     private val callers = HttpListener(
--- a/daemon/src/main/kotlin/io/primroseflow/daemon/entry/RelayModel.kt
+++ b/daemon/src/main/kotlin/io/primroseflow/daemon/entry/RelayModel.kt
@@ -3,6 +3,7 @@
 import io.primroseflow.daemon.EventLog
 import io.primroseflow.daemon.fleet.Dialect
 import io.primroseflow.daemon.fleet.RequestTraits
+import io.primroseflow.daemon.http.ByteBudget
 import io.primroseflow.daemon.http.Incoming
 import io.primroseflow.daemon.target.TargetConditionMonitor
 import io.primroseflow.daemon.target.TargetExchanger
@@ -20,7 +21,11 @@
 internal class CallerDisconnectedException(cause: IOException) :
     CancellationException("the caller's connection failed: ${cause.message}")
 
-/** The components of a host that all its relays use. */
+/**
+ * The components of a host that all its relays use.
+ *
+ * @property answers memory for answers that are read as a whole before they are forwarded
+ */
 internal class RelayContext(
     val clock: Clock,
     val dataCentre: DataCentreId,
@@ -28,6 +33,7 @@
     val slots: SlotClient,
     val exchanger: TargetExchanger,
     val conditions: TargetConditionMonitor,
+    val answers: ByteBudget,
     val log: EventLog
 )
 
--- a/daemon/src/main/kotlin/io/primroseflow/daemon/entry/RequestRelay.kt
+++ b/daemon/src/main/kotlin/io/primroseflow/daemon/entry/RequestRelay.kt
@@ -66,6 +66,7 @@
     private val route = request.route
     private val excluded = HashSet<TargetId>()
     private val carriedOn = HashSet<PooledConnection>()
+    private val memory = context.answers.openShare()
     private var lastEventId: String? = null
     private var hasStream = false
     private var dispatches = 0
@@ -115,6 +116,7 @@
         runAttempts()
     } finally {
         dropReplacement()
+        memory.close()
     }
 
     private suspend fun runAttempts(): RelayResult {
@@ -269,6 +271,7 @@
             address = target.address,
             isStream = route.isStream,
             carriedOn = carriedOn,
+            memory = memory,
             maxIdle = if (isRepeatable) Duration.INFINITE else NON_IDEMPOTENT_MAX_IDLE,
             firstTimeout = if (canRetryElsewhere) firstTimeout(timeLeft) else timeLeft,
             gapTimeout = if (canRetryElsewhere) RESUMABLE_GAP_TIMEOUT else timeLeft,
--- a/daemon/src/main/kotlin/io/primroseflow/daemon/http/HttpConnection.kt
+++ b/daemon/src/main/kotlin/io/primroseflow/daemon/http/HttpConnection.kt
@@ -12,14 +12,18 @@
 import io.primroseflow.daemon.target.BodyFraming
 import io.primroseflow.daemon.target.source
 import io.primroseflow.routing.CallerBounds
-import java.io.ByteArrayOutputStream
 import java.io.IOException
 import kotlinx.coroutines.withTimeoutOrNull
+import kotlinx.io.Buffer
+import kotlinx.io.readByteArray
 
 private const val VERSION = "HTTP/1.1"
 
 private const val READ_BUFFER_BYTES = 8 * 1024
 
+/** Maximum size of a part of a body that is written at once. */
+private const val WRITE_BYTES = 64 * 1024
+
 /** Bytes of a header field besides its name and value: a colon, a space and a line break. */
 private const val FIELD_OVERHEAD_BYTES = 4
 
@@ -40,8 +44,10 @@
      *
      * @property status HTTP status code to respond with
      * @property reason description of the error for people
+     * @property fields header fields of the response
      */
-    class Invalid(val status: Int, val reason: String) : Incoming
+    class Invalid(val status: Int, val reason: String, val fields: List<HttpField> = emptyList()) :
+        Incoming
 
     /** The peer closed the connection or the idle timeout passed. */
     data object Closed : Incoming
@@ -51,8 +57,13 @@
  * The server side of one HTTP/1.1 connection.
  *
  * Not safe for use from several threads.
+ *
+ * @param memory for the body of the current request
  */
-internal class HttpConnection(private val socket: StreamSocket) {
+internal class HttpConnection(
+    private val socket: StreamSocket,
+    private val memory: ByteBudget.Share
+) {
     private val input: ByteReadChannel = socket.input
     private val output: ByteWriteChannel = socket.output
 
@@ -72,6 +83,7 @@
     suspend fun receive(bounds: () -> CallerBounds): Incoming {
         isResponseStarted = false
         isBusy = false
+        memory.close()
         val hasContent = withTimeoutOrNull(bounds().idleTimeout) { input.awaitContent() }
         if (hasContent != true) return Incoming.Closed
         isBusy = true
@@ -117,7 +129,11 @@
         head.headerLine("Content-Length", body.size.toString())
         head.emptyLine()
         output.writePacket(head.build())
-        if (body.isNotEmpty()) output.writeFully(body)
+        // A slow reader must not make the output hold copies of the whole body.
+        for (start in body.indices step WRITE_BYTES) {
+            output.writeFully(body, start, minOf(start + WRITE_BYTES, body.size))
+            output.flush()
+        }
         output.flush()
     }
 
@@ -155,6 +171,7 @@
      * The peer sees a chunked response that was not finished as truncated.
      */
     fun close() {
+        memory.close()
         socket.close()
     }
 
@@ -188,42 +205,65 @@
                 "the length of the body is malformed or ambiguous"
             )
         if (framing is BodyFraming.Sized && framing.length > bounds.bodyBytes) {
-            return Incoming.Invalid(
-                HttpStatusCode.PayloadTooLarge.value,
-                "the body exceeds the size limit"
-            )
+            return bodyTooLarge()
         }
         if (head.fields.findOrNull("Expect").equals("100-continue", ignoreCase = true)) {
             output.writeFully("$VERSION 100 Continue\r\n\r\n".encodeToByteArray())
             output.flush()
         }
-        val body = readBody(framing, bounds.bodyBytes)
-            ?: return Incoming.Invalid(
-                HttpStatusCode.PayloadTooLarge.value,
-                "the body exceeds the size limit"
-            )
-        return Incoming.Request(head, body)
+        return readBody(head, framing, bounds.bodyBytes)
     }
 
     private fun headersTooLarge() =
         Incoming.Invalid(HTTP_HEADERS_TOO_LARGE, "the headers exceed the size limit")
 
-    private suspend fun readBody(framing: BodyFraming, limit: Int): ByteArray? {
-        if (framing is BodyFraming.Sized && framing.length == 0L) return ByteArray(0)
+    /**
+     * Reads the body of the request with [head]. If the memory for bodies is used up, the rest is
+     * read and discarded, so that the peer gets the refusal.
+     */
+    private suspend fun readBody(
+        head: HttpRequestHead,
+        framing: BodyFraming,
+        limit: Int
+    ): Incoming {
+        if (framing == BodyFraming.Sized(0)) return Incoming.Request(head, ByteArray(0))
         val body = framing.source(input)
-        val collected = ByteArrayOutputStream()
+        val collected = Buffer()
         val buffer = ByteArray(READ_BUFFER_BYTES)
+        var size = 0L
+        var isDiscarding = false
         while (true) {
             val count = body.read(buffer)
-            if (count < 0) return collected.toByteArray()
-            if (collected.size() + count > limit) return null
-            collected.write(buffer, 0, count)
+            if (count < 0) break
+            size += count
+            if (size > limit) return bodyTooLarge()
+            if (!isDiscarding && !memory.take(count)) {
+                isDiscarding = true
+                collected.clear()
+                memory.close()
+            }
+            if (!isDiscarding) collected.write(buffer, 0, count)
         }
+        return if (isDiscarding) overloaded() else Incoming.Request(head, collected.readByteArray())
     }
 
+    private fun bodyTooLarge() = Incoming.Invalid(
+        HttpStatusCode.PayloadTooLarge.value,
+        "the body exceeds the size limit"
+    )
+
+    private fun overloaded() = Incoming.Invalid(
+        HttpStatusCode.ServiceUnavailable.value,
+        "no memory for the body at present; the request was not run",
+        listOf(HttpField("Retry-After", OVERLOAD_RETRY_SECONDS))
+    )
+
     private companion object {
         const val HEX = 16
         const val HTTP_HEADERS_TOO_LARGE = 431
+
+        /** Seconds after which a caller may come again; bodies are held for about that long. */
+        const val OVERLOAD_RETRY_SECONDS = "0.50"
     }
 }
 
--- a/daemon/src/main/kotlin/io/primroseflow/daemon/http/HttpListener.kt
+++ b/daemon/src/main/kotlin/io/primroseflow/daemon/http/HttpListener.kt
@@ -15,6 +15,9 @@
 /** Maximum number of connections that wait to be accepted. */
 private const val ACCEPT_BACKLOG = 1_024
 
+/** Maximum size of the bodies of all requests that are being read or handled, in bytes. */
+private const val MAX_TOTAL_BODY_BYTES = 24L * 1024 * 1024
+
 /**
  * Limits on connections from operators and health checks, and on those from callers before a policy
  * is in force.
@@ -51,6 +54,7 @@
     private val handler: HttpHandler
 ) {
     private val connections = HashSet<HttpConnection>()
+    private val bodies = ByteBudget(MAX_TOTAL_BODY_BYTES)
     private var listening: ListeningSocket? = null
     private var isClosing = false
 
@@ -87,7 +91,7 @@
     }
 
     private fun accept(socket: StreamSocket) {
-        val connection = HttpConnection(socket)
+        val connection = HttpConnection(socket, bodies.openShare())
         connections += connection
         scope.launch { contain(log.failureOf("caller connection")) { serve(connection) } }
             .invokeOnCompletion { connections -= connection }
@@ -117,10 +121,10 @@
 
     private suspend fun refuse(connection: HttpConnection, invalid: Incoming.Invalid) {
         log.info("request_malformed", "status" to invalid.status, "reason" to invalid.reason)
-        val text = listOf(HttpField("Content-Type", "text/plain"))
+        val text = HttpField("Content-Type", "text/plain")
         connection.respond(
             invalid.status,
-            text,
+            invalid.fields + text,
             invalid.reason.encodeToByteArray(),
             closeAfter = true
         )
--- a/daemon/src/main/kotlin/io/primroseflow/daemon/socket/StreamSocket.kt
+++ b/daemon/src/main/kotlin/io/primroseflow/daemon/socket/StreamSocket.kt
@@ -23,7 +23,7 @@
 import kotlinx.io.readByteArray
 
 /** Number of received bytes above which no more are read until the reader asks for them. */
-private const val MAX_BUFFERED_BYTES = 64 * 1024
+private const val MAX_BUFFERED_BYTES = 16 * 1024
 
 /** Time for the peer to read what was written before [StreamSocket.close]. */
 private val CLOSE_TIMEOUT: Duration = 5.seconds
--- a/daemon/src/main/kotlin/io/primroseflow/daemon/target/TargetExchanges.kt
+++ b/daemon/src/main/kotlin/io/primroseflow/daemon/target/TargetExchanges.kt
@@ -2,11 +2,11 @@
 
 import io.primroseflow.daemon.fleet.AnswerTraits
 import io.primroseflow.daemon.fleet.Dialect
+import io.primroseflow.daemon.http.ByteBudget
 import io.primroseflow.daemon.http.HttpAnswerHead
 import io.primroseflow.daemon.http.HttpField
 import io.primroseflow.fleet.TargetNotice
 import io.primroseflow.model.TargetId
-import java.io.ByteArrayOutputStream
 import java.io.IOException
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
@@ -19,15 +19,14 @@
 import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
+import kotlinx.io.Buffer
+import kotlinx.io.readByteArray
 
 private const val READ_BUFFER_BYTES = 8 * 1024
 
 /** Maximum size of an answer that is read into memory as a whole. */
 private const val MAX_BUFFERED_ANSWER_BYTES = 8 * 1024 * 1024
 
-/** Maximum size of all answers together that are read into memory at the same time. */
-private const val MAX_TOTAL_BUFFERED_BYTES = 24L * 1024 * 1024
-
 /** Maximum number of late answers to earlier requests that are skipped on one connection. */
 private const val MAX_SKIPPED_ANSWERS = 2
 
@@ -60,6 +59,7 @@
  * @property isStream whether a successful answer is forwarded event by event
  * @property carriedOn connections on which the request was sent before, which the exchange adds to. On
  *   these a late second copy of a former answer could not be told from the answer to this send
+ * @property memory for an answer that is read as a whole, until it was forwarded
  * @property maxIdle maximum time for which a reused connection may have been idle
  * @property firstTimeout time without the head of the answer, or without the first event of a
  *   stream after the head, from which the target counts as silent
@@ -77,6 +77,7 @@
     val address: String,
     val isStream: Boolean,
     val carriedOn: MutableSet<PooledConnection>,
+    val memory: ByteBudget.Share,
     val maxIdle: Duration,
     val firstTimeout: Duration,
     val gapTimeout: Duration,
@@ -151,8 +152,6 @@
     private val conditions: TargetConditionMonitor,
     private val time: TimeSource = TimeSource.Monotonic
 ) {
-    private var bufferedBytes = 0L
-
     /** Sends [dispatch] once and reads its answer; connection failures are part of the result. */
     suspend fun run(dispatch: Dispatch, listener: ExchangeListener): ExchangeResult {
         val grantedAt = time.markNow()
@@ -369,27 +368,16 @@
 
         private suspend fun readBytes(framing: BodyFraming): ByteArray {
             val body = framing.source(connection.input)
-            val collected = ByteArrayOutputStream()
+            val collected = Buffer()
             val buffer = ByteArray(READ_BUFFER_BYTES)
-            try {
-                while (true) {
-                    val count = body.read(buffer)
-                    if (count < 0) return collected.toByteArray()
-                    collected.write(buffer, 0, count)
-                    bufferedBytes += count
-                    throwIfTooLarge(collected.size())
+            while (true) {
+                val count = body.read(buffer)
+                if (count < 0) return collected.readByteArray()
+                if (collected.size + count > MAX_BUFFERED_ANSWER_BYTES) {
+                    throw IOException("answer of more than $MAX_BUFFERED_ANSWER_BYTES bytes")
                 }
-            } finally {
-                bufferedBytes -= collected.size()
-            }
-        }
-
-        private fun throwIfTooLarge(size: Int) {
-            if (size > MAX_BUFFERED_ANSWER_BYTES) {
-                throw IOException("answer of more than $MAX_BUFFERED_ANSWER_BYTES bytes")
-            }
-            if (bufferedBytes > MAX_TOTAL_BUFFERED_BYTES) {
-                throw IOException("answers of more than $MAX_TOTAL_BUFFERED_BYTES bytes in memory")
+                if (!dispatch.memory.take(count)) throw IOException("no memory for the answer")
+                collected.write(buffer, 0, count)
             }
         }
     }
