Answer operators' orders in progress before a control host stops

An order that waited for the control group when its control host was stopped as planned was cut off without an answer.

Cause: the process ended one second after the signal, whoever still waited.

Fix: after the leadership is handed over the listener drains: no new connections, idle ones closed, and the orders in progress answered, which takes the control group 3 s at most.

--- a/daemon/src/main/kotlin/io/primroseflow/daemon/HostProcesses.kt
+++ b/daemon/src/main/kotlin/io/primroseflow/daemon/HostProcesses.kt
@@ -24,6 +24,7 @@
 import kotlin.system.exitProcess
 import kotlin.time.Clock
 import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 import kotlinx.coroutines.CoroutineExceptionHandler
 import kotlinx.coroutines.CoroutineScope
@@ -37,6 +38,9 @@
 /** Time for a control host to transfer leadership before it stops. */
 private val LEADERSHIP_TRANSFER_TIME: Duration = 1.seconds
 
+/** Time for the orders in progress to be answered, which take the control group 3 s at most. */
+private val OPERATOR_DRAIN_TIME: Duration = 3_500.milliseconds
+
 private const val EXIT_FAILED = 1
 
 /**
@@ -192,7 +196,7 @@
         host.transferLeadership()
         listener.isDraining = true
         delay(LEADERSHIP_TRANSFER_TIME)
-        listener.closeIdle()
+        listener.drain(OPERATOR_DRAIN_TIME)
     }
     LogManager.shutdown()
     exitProcess(0)
--- a/daemon/src/main/kotlin/io/primroseflow/daemon/http/HttpListener.kt
+++ b/daemon/src/main/kotlin/io/primroseflow/daemon/http/HttpListener.kt
@@ -8,13 +8,19 @@
 import io.primroseflow.daemon.socket.StreamSocket
 import io.primroseflow.routing.CallerBounds
 import java.io.IOException
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
+import kotlinx.coroutines.withTimeoutOrNull
 
 /** Maximum number of connections that wait to be accepted. */
 private const val ACCEPT_BACKLOG = 1_024
 
+private val DRAIN_POLL_INTERVAL: Duration = 50.milliseconds
+
 /** Maximum size of the bodies of all requests that are being read or handled, in bytes. */
 private const val MAX_TOTAL_BODY_BYTES = 24L * 1024 * 1024
 
@@ -90,6 +96,21 @@
         connections.toList().forEach { it.close() }
     }
 
+    /**
+     * Stops accepting, closes idle connections and waits for the responses to the requests in
+     * progress, for [limit] at most. Then closes all connections.
+     */
+    suspend fun drain(limit: Duration) {
+        stopAccepting()
+        closeIdle()
+        withTimeoutOrNull(limit) {
+            while (busyCount > 0) delay(DRAIN_POLL_INTERVAL)
+        }
+        closeAll()
+        // What was written is flushed by the loop before the connections close.
+        delay(DRAIN_POLL_INTERVAL)
+    }
+
     private fun accept(socket: StreamSocket) {
         val connection = HttpConnection(socket, bodies.openShare())
         connections += connection
