Answer a request beside a failure that nobody expected

What callers see: a failure while a request is read by the dialect or routed, and a cancellation of the relay that neither the caller nor the stop has caused, closed the connection of a whole request without an answer. The log named no request in the first case, and told 'caller_left' in the second.

Cause: only the relay was contained, not the admission before it and the records after it; and a relay without a result was taken for one whose caller had left. The class of fault: the absence of a result is read as one particular cause.

Change: a failed admission is refused with 503 (nothing was sent); a failed record costs only the record; a write that fails marks the caller as gone, and any other cancellation is logged (relay_cancelled) and answered like a failure, 502 if the request may have run. The line of a request that was broken off names the cause, which was empty for an expired deadline.

No trigger of either was found in the product: by reading, the dialect and the admission throw for nothing that a caller sends, except through weights that overflow (mended before).

Evidence: UnexpectedFailuresTest failed in two of three cases before: 'before it is relayed' and 'that cancels the relay' got an empty answer.

--- a/daemon/src/main/kotlin/io/primroseflow/daemon/entry/EntryHost.kt
+++ b/daemon/src/main/kotlin/io/primroseflow/daemon/entry/EntryHost.kt
@@ -300,12 +300,17 @@
 
     private suspend fun onRequest(request: Incoming.Request, connection: HttpConnection): Boolean {
         val arrivedAt = clock.now()
-        val traits = dialect.readRequest(request.head.fields)
+        val fields = request.head.fields
+        val id = fields.findOrNull(ID_FIELD)
         val closes = callers.isDraining || !request.head.keepsConnection
-        return when (val admission = admissionController.admit(request, traits, arrivedAt)) {
+        // A failure must not end the connection of a request that has been read without an answer.
+        val admission = contain(log.failureOf("admission of $id")) {
+            admissionController.admit(request, dialect.readRequest(fields), arrivedAt)
+        } ?: Admission.Refused(EntryRefusal.InternalError)
+        return when (admission) {
             is Admission.Refused -> {
-                recordRefusal(traits.id, admission)
-                refuse(connection, admission.refusal, null, traits.id, closes)
+                recordRefusal(id, admission)
+                refuse(connection, admission.refusal, null, id, closes)
                 !closes
             }
 
@@ -325,9 +330,15 @@
         coroutineScope {
             val work: Job = launch {
                 val left = request.deadline - clock.now()
-                result = contain(log.failureOf("relay of ${request.traits.id}")) {
-                    withTimeoutOrNull(left) { relay.run() } ?: resultAtDeadline(relay, connection)
-                } ?: resultOfFailure(relay, connection)
+                result = try {
+                    contain(log.failureOf("relay of ${request.traits.id}")) {
+                        withTimeoutOrNull(left) { relay.run() }
+                            ?: resultAtDeadline(relay, connection)
+                    } ?: resultOfFailure(relay, connection)
+                } catch (e: CallerDisconnectedException) {
+                    hasCallerLeft = true
+                    throw e
+                }
             }
             val watcher = launch {
                 if (!connection.awaitDisconnect()) return@launch
@@ -345,9 +356,20 @@
             watcher.cancel()
             stopper.cancel()
         }
-        val ended = result ?: if (isStopped && !hasCallerLeft) resultAtStop(relay) else null
-        metrics.recordEnd(request, relay, outcomeLabel(ended, hasCallerLeft), clock.now())
-        logEnd(request, relay, ended, hasCallerLeft)
+        val ended = result ?: when {
+            hasCallerLeft -> null
+
+            isStopped -> resultAtStop(relay)
+
+            else -> {
+                log.warn("relay_cancelled", "request" to request.traits.id)
+                resultOfFailure(relay, connection)
+            }
+        }
+        contain(log.failureOf("record of ${request.traits.id}")) {
+            metrics.recordEnd(request, relay, outcomeLabel(ended, hasCallerLeft), clock.now())
+            logEnd(request, relay, ended, hasCallerLeft)
+        }
         if (hasCallerLeft || ended == null || ended is RelayResult.Broken) return false
         if (ended is RelayResult.Refused) {
             refuse(connection, ended.refusal, ended.retryAfter, request.traits.id, closes)
@@ -402,6 +424,9 @@
         is RelayResult.Broken -> "broken"
     }
 
+    private fun causeOf(relay: RequestRelay, result: RelayResult?): String? =
+        (result as? RelayResult.Broken)?.cause ?: relay.cause.ifEmpty { null }
+
     private fun logEnd(
         request: RoutedRequest,
         relay: RequestRelay,
@@ -413,7 +438,7 @@
             "request_ended",
             "request" to request.traits.id,
             "outcome" to outcomeLabel(result, hasCallerLeft),
-            "cause" to relay.cause.ifEmpty { null },
+            "cause" to causeOf(relay, result),
             "route" to request.route.id,
             "team" to request.team?.id,
             "targets" to relay.targets,
