Do not take a target for silent while its events wait for the caller

What callers saw: in a resumable stream whose caller reads nothing for longer than a target may be silent (1.5 s), events came twice, and one was cut off in the middle by the head of the next chunk (ORDER, MIXED).

Cause: the time without progress ran on while the host waited for the caller to read. Once another target had a slot, the exchange was cancelled within the write of an event, whose id had not been noted yet, so the other target began with events that the caller had in part. The class of fault: time that is spent on one side of a relay is charged to the other.

Change: while an event is being forwarded the target is not silent; its time starts anew afterwards.

Evidence: SlowCallersTest failed before: the stream of 300 events of 64 KB, unread for 4 s, had further ones from index 300 on, and differed from index 61 on. It passes now, with SilentTargetsTest.

--- a/daemon/src/main/kotlin/io/primroseflow/daemon/target/TargetExchanges.kt
+++ b/daemon/src/main/kotlin/io/primroseflow/daemon/target/TargetExchanges.kt
@@ -200,6 +200,9 @@
         private var quietSince = startedAt
         private var progress = 0
 
+        /** Whether what the target sent waits for its reader, so that the target is not silent. */
+        private var isForwarding = false
+
         suspend fun run(): ExchangeResult = coroutineScope {
             listener.onWriteStarting()
             // A target may answer before it has read the whole body, so both run concurrently.
@@ -224,6 +227,7 @@
         /** Returns how long the target has been silent once the exchange is to be given up. */
         private suspend fun awaitSilence(): Duration {
             while (true) {
+                if (isForwarding) quietSince = time.markNow()
                 val left = silenceLimit - quietSince.elapsedNow()
                 if (left > Duration.ZERO) {
                     delay(left)
@@ -345,9 +349,12 @@
                     onProgress(dispatch.gapTimeout)
                 }
                 if (splitter.completeLength == 0) continue
+                isForwarding = true
                 if (!hasStarted) listener.onStream(head)
                 hasStarted = true
                 listener.onEvents(splitter.buffer, splitter.completeLength, splitter.lastId)
+                isForwarding = false
+                quietSince = time.markNow()
                 splitter.dropComplete()
             }
             if (splitter.hasPartialEvent) {
