Bound what a list of targets may cost the host that reads it

A list of 4 MB with 1,990,000 elements, or 350,000 members, was divided into as many strings before any of them was judged. With the deployed heap of 160 MB the leaders stalled or ended with OutOfMemoryError one after the other; PUT and GET of the configuration timed out, and the entry host ended as well.

ForeignJson now keeps positions in the text instead of copies, finds members by name when they are asked for, and parses at most 16,384 elements of an array; a list has at most 16,384 usable targets. What is beyond counts as unusable, so the targets before it stay in use.

--- a/daemon/src/main/kotlin/io/primroseflow/daemon/json/ForeignJson.kt
+++ b/daemon/src/main/kotlin/io/primroseflow/daemon/json/ForeignJson.kt
@@ -11,31 +11,58 @@
 /** Maximum length of such an element, in characters. */
 private const val MAX_ELEMENT_CHARACTERS = 64 * 1024
 
+/** Maximum number of elements of an array that are parsed. */
+internal const val MAX_FOREIGN_ELEMENTS: Int = 16 * 1024
+
+/**
+ * The elements of an array of another system.
+ *
+ * @property readable the elements that could be parsed, in order
+ * @property unreadable number of the other elements
+ */
+public class ForeignElements(public val readable: List<JsonElement>, public val unreadable: Int)
+
 /**
  * A JSON document of another system, of which one unreadable part must not make the others so.
  *
- * The document is only divided into its parts; each is parsed when it is read. A part that is
- * nested too deeply, too long or not valid JSON counts as missing.
+ * The document is only divided into its parts; each is parsed when it is read, and no part is
+ * copied before. A part that is nested too deeply, too long or not valid JSON counts as missing.
  */
-public class ForeignJson private constructor(private val members: Map<String, String>) {
+public class ForeignJson private constructor(private val text: String) {
     /** Returns the member [name] of the document, or `null` if it is missing or unreadable. */
-    public fun elementOrNull(name: String): JsonElement? = members[name]?.let(::parseOrNull)
+    public fun elementOrNull(name: String): JsonElement? = rangeOrNull(name)?.let(::parseOrNull)
 
     /**
-     * Returns the elements of the array [name], `null` in place of each that is unreadable.
+     * Returns the elements of the array [name]. Elements after the first 16,384 are not parsed and
+     * count as unreadable, so that a longer array costs neither memory nor time.
      *
      * @return `null` if the document has no such array, or one without an end
      */
-    public fun elementsOrNull(name: String): List<JsonElement?>? {
-        val text = members[name] ?: return null
-        if (!text.startsWith('[')) return null
-        return JsonDivider(text).arrayOrNull()?.map(::parseOrNull)
+    public fun elementsOrNull(name: String): ForeignElements? {
+        val range = rangeOrNull(name) ?: return null
+        val readable = ArrayList<JsonElement>()
+        var count = 0
+        val isArray = JsonDivider(text, range.first).readArray { element ->
+            if (count++ < MAX_FOREIGN_ELEMENTS) parseOrNull(element)?.let(readable::add)
+        }
+        return if (isArray) ForeignElements(readable, count - readable.size) else null
+    }
+
+    /** Returns where the last member [name] is, as parsers use the last of several, too. */
+    private fun rangeOrNull(name: String): IntRange? {
+        var found: IntRange? = null
+        JsonDivider(text).readObject { member, value ->
+            if (text.isSameAt(member, name)) found = value
+        }
+        return found
     }
 
+    private fun parseOrNull(range: IntRange): JsonElement? = parseOrNull(text, range)
+
     public companion object {
-        /** Divides [text] into the members of its object, or returns `null` if it is none. */
+        /** Returns the document that [text] is, or `null` if it is no object. */
         public fun ofOrNull(text: String): ForeignJson? =
-            JsonDivider(text.trim()).objectOrNull()?.let(::ForeignJson)
+            if (JsonDivider(text).readObject { _, _ -> }) ForeignJson(text) else null
     }
 }
 
@@ -49,10 +76,15 @@
     null
 }
 
-private fun parseOrNull(text: String): JsonElement? {
-    if (text.length > MAX_ELEMENT_CHARACTERS || depthOf(text) > MAX_DEPTH) return null
+private fun String.isSameAt(range: IntRange, other: String): Boolean =
+    range.last - range.first + 1 == other.length && startsWith(other, range.first)
+
+private fun parseOrNull(text: String, range: IntRange): JsonElement? {
+    if (range.last - range.first >= MAX_ELEMENT_CHARACTERS) return null
+    val element = text.substring(range)
+    if (depthOf(element) > MAX_DEPTH) return null
     return try {
-        Json.parseToJsonElement(text)
+        Json.parseToJsonElement(element)
     } catch (_: SerializationException) {
         null
     }
@@ -71,32 +103,37 @@
 }
 
 /** Finds the ends of values by their quotes and brackets alone, without recursion. */
-private class JsonDivider(private val text: String) {
-    private var position = 0
-
-    /** Returns the raw values of the object that [text] is, by name. */
-    fun objectOrNull(): Map<String, String>? {
-        if (!take('{')) return null
-        val members = HashMap<String, String>()
-        if (take('}')) return members
+private class JsonDivider(private val text: String, private var position: Int = 0) {
+    /**
+     * Passes the ranges of the name, without its quotes, and of the value of each member to
+     * [onMember].
+     *
+     * @return whether there is a whole object
+     */
+    inline fun readObject(onMember: (name: IntRange, value: IntRange) -> Unit): Boolean {
+        if (!take('{')) return false
+        if (take('}')) return true
         while (true) {
-            val name = stringOrNull() ?: return null
-            if (!take(':')) return null
-            members[name] = valueOrNull() ?: return null
-            if (take('}')) return members
-            if (!take(',')) return null
+            val name = stringOrNull() ?: return false
+            if (!take(':')) return false
+            onMember(name, valueOrNull() ?: return false)
+            if (take('}')) return true
+            if (!take(',')) return false
         }
     }
 
-    /** Returns the raw elements of the array that [text] is. */
-    fun arrayOrNull(): List<String>? {
-        if (!take('[')) return null
-        val elements = ArrayList<String>()
-        if (take(']')) return elements
+    /**
+     * Passes the range of each element to [onElement].
+     *
+     * @return whether there is a whole array
+     */
+    inline fun readArray(onElement: (IntRange) -> Unit): Boolean {
+        if (!take('[')) return false
+        if (take(']')) return true
         while (true) {
-            elements += valueOrNull() ?: return null
-            if (take(']')) return elements
-            if (!take(',')) return null
+            onElement(valueOrNull() ?: return false)
+            if (take(']')) return true
+            if (!take(',')) return false
         }
     }
 
@@ -112,10 +149,10 @@
         while (position < text.length && text[position].isWhitespace()) position++
     }
 
-    private fun stringOrNull(): String? {
+    private fun stringOrNull(): IntRange? {
         val start = position
         if (!skipString()) return null
-        return text.substring(start + 1, position - 1)
+        return start + 1 until position - 1
     }
 
     private fun skipString(): Boolean {
@@ -130,7 +167,7 @@
         return false
     }
 
-    private fun valueOrNull(): String? {
+    private fun valueOrNull(): IntRange? {
         val start = position
         var depth = 0
         while (position < text.length) {
@@ -154,6 +191,9 @@
         return null
     }
 
-    private fun endedValueOrNull(start: Int): String? =
-        text.substring(start, position).trim().ifEmpty { null }
+    private fun endedValueOrNull(start: Int): IntRange? {
+        var end = position
+        while (end > start && text[end - 1].isWhitespace()) end--
+        return if (end > start) start until end else null
+    }
 }
--- a/daemon/src/main/kotlin/io/primroseflow/daemon/platform/PlatformListPoller.kt
+++ b/daemon/src/main/kotlin/io/primroseflow/daemon/platform/PlatformListPoller.kt
@@ -36,8 +36,8 @@
  * that is malformed or in an unknown state is left out.
  */
 internal fun listedTargetsOrNull(text: String): List<ListedTarget>? =
-    ForeignJson.ofOrNull(text)?.elementsOrNull("hosts")?.mapNotNull { element ->
-        element?.let { decodeOrNull(ListedTarget.serializer(), it) }
+    ForeignJson.ofOrNull(text)?.elementsOrNull("hosts")?.readable?.mapNotNull {
+        decodeOrNull(ListedTarget.serializer(), it)
     }
 
 /**
--- a/daemon/src/main/kotlin/io/primroseflow/daemon/target/TargetPoller.kt
+++ b/daemon/src/main/kotlin/io/primroseflow/daemon/target/TargetPoller.kt
@@ -98,9 +98,9 @@
     private suspend fun pollCacheEvents() {
         val url = "${target.url}/cache/events?after=$lastEventSeq"
         val text = client.textOrNull(url, POLL_TIMEOUT) ?: return
-        for (element in ForeignJson.ofOrNull(text)?.elementsOrNull("events").orEmpty()) {
-            val event =
-                element?.let { decodeOrNull(CacheEventMessage.serializer(), it) } ?: continue
+        val events = ForeignJson.ofOrNull(text)?.elementsOrNull("events") ?: return
+        for (element in events.readable) {
+            val event = decodeOrNull(CacheEventMessage.serializer(), element) ?: continue
             lastEventSeq = maxOf(lastEventSeq, event.seq)
             listener.onPrefix(target.id, event.digest, event.present)
         }
--- a/daemon/src/test/kotlin/io/primroseflow/daemon/json/ForeignJsonTest.kt
+++ b/daemon/src/test/kotlin/io/primroseflow/daemon/json/ForeignJsonTest.kt
@@ -2,12 +2,14 @@
 
 import io.kotest.core.spec.style.DescribeSpec
 import io.kotest.matchers.nulls.shouldBeNull
+import io.kotest.matchers.nulls.shouldNotBeNull
 import io.kotest.matchers.shouldBe
 import kotlinx.serialization.json.jsonPrimitive
 
-private fun elements(list: String) =
+private fun read(list: String) =
     ForeignJson.ofOrNull("""{"list":$list,"next":"n"}""")?.elementsOrNull("list")
-        ?.map { it?.toString() }
+
+private fun elements(list: String) = read(list)?.readable?.map { it.toString() }
 
 class ForeignJsonTest :
     DescribeSpec({
@@ -35,11 +37,20 @@
                     """{"a" 1}"""
                 )
                 for (element in odd) {
-                    val read = elements("[1,$element,2]").orEmpty()
-                    listOf(read.size, read.first(), read.last()) shouldBe listOf(3, "1", "2")
+                    val list = "[1,$element,2]"
+                    val read = elements(list).orEmpty()
+                    listOf(read.first(), read.last()) shouldBe listOf("1", "2")
+                    read.size + (read(list)?.unreadable ?: 0) shouldBe 3
                 }
             }
 
+            // Issue 44: a list of a million tiny elements exhausted the memory of each leader in turn.
+            it("is parsed up to its 16,384th element") {
+                val parsed = read("[${"1,".repeat(1_000_000)}2]").shouldNotBeNull()
+                parsed.readable.size shouldBe MAX_FOREIGN_ELEMENTS
+                parsed.unreadable shouldBe 1_000_001 - MAX_FOREIGN_ELEMENTS
+            }
+
             it("is missing if it has no end or no separators") {
                 elements("[1,[2]").shouldBeNull()
                 elements("[1,\"2]").shouldBeNull()
