Skip a committed entry that no replica can decode, and check commands before

A committed entry that cannot be decoded ended every replica task, and ends it again at each start, since the entry is in each log. A command too large for a frame between hosts entered the log of the leader and kept it from replicating anything after it.

Cause: applying was not total, and a command entered the log unchecked.

Change: the leader encodes, measures and decodes a command and checks its values before it proposes it, and answers Refused otherwise. An entry that cannot be decoded is skipped by all replicas alike, logged, and counted in control_skipped_entries. Hosts of another protocol version do not exchange messages, so no replica skips what another one can decode.

--- /dev/null
+++ b/core/src/main/kotlin/io/primroseflow/control/CommandChecks.kt
@@ -0,0 +1,22 @@
+package io.primroseflow.control
+
+/** End of the times that a UUID of version 7 can hold, in milliseconds since the epoch. */
+private const val TIME_END_MILLIS = 1L shl 48
+
+/**
+ * Returns what is wrong with a value of this command, or `null` if it may be proposed.
+ *
+ * A command that is in the log is applied by every replica, so its values are checked before.
+ */
+public fun ControlCommand.faultOrNull(): String? = when {
+    atMillis !in 0..<TIME_END_MILLIS -> "the time $atMillis is out of range"
+
+    this is ControlCommand.Claim && retentionMillis !in 0..<TIME_END_MILLIS ->
+        "the retention $retentionMillis is out of range"
+
+    // The revision after it must exist.
+    this is ControlCommand.RaisePolicy && revision.number !in 1..<Long.MAX_VALUE ->
+        "the revision $revision is out of range"
+
+    else -> null
+}
--- a/core/src/main/kotlin/io/primroseflow/control/ControlState.kt
+++ b/core/src/main/kotlin/io/primroseflow/control/ControlState.kt
@@ -80,3 +80,11 @@
 /** Decodes the content of a log entry. */
 public fun decodeCommand(bytes: CommandBytes): ControlCommand =
     controlCbor.decodeFromByteArray(ControlCommand.serializer(), bytes.bytes)
+
+/** Decodes the content of a log entry, or returns `null` if [bytes] are not a command. */
+public fun decodeCommandOrNull(bytes: CommandBytes): ControlCommand? = try {
+    decodeCommand(bytes)
+} catch (_: RuntimeException) {
+    // The decoder reports malformed input by exceptions of several types.
+    null
+}
--- a/daemon/src/main/kotlin/io/primroseflow/daemon/control/ControlHost.kt
+++ b/daemon/src/main/kotlin/io/primroseflow/daemon/control/ControlHost.kt
@@ -143,6 +143,9 @@
             replica.status.membership.voters.size
         }
         gauge("policy_revision", "Policy in force at this host") { policy.revision.number }
+        gauge("skipped_entries", "Committed entries that could not be applied since the start") {
+            replica.status.skippedEntries
+        }
         gauge("hosts", "Entry hosts that report to this scheduler") { scheduler.attachedHosts }
         gauge("waiting", "Requests that wait for a slot") { scheduler.status?.waiting }
         gauge("running", "Requests that hold a slot") { scheduler.status?.running }
--- a/daemon/src/main/kotlin/io/primroseflow/daemon/control/ReplicaTask.kt
+++ b/daemon/src/main/kotlin/io/primroseflow/daemon/control/ReplicaTask.kt
@@ -21,9 +21,11 @@
 import io.primroseflow.consensus.Snapshot
 import io.primroseflow.consensus.Term
 import io.primroseflow.control.AcceptedPolicy
+import io.primroseflow.control.ControlCommand
 import io.primroseflow.control.ControlState
-import io.primroseflow.control.decodeCommand
+import io.primroseflow.control.decodeCommandOrNull
 import io.primroseflow.control.encodeCommand
+import io.primroseflow.control.faultOrNull
 import io.primroseflow.daemon.peer.CallId
 import io.primroseflow.daemon.peer.CallIds
 import io.primroseflow.daemon.peer.ControlQuery
@@ -89,6 +91,9 @@
 /** Maximum number of messages whose effects are written to the disk together. */
 private const val MAX_BATCH_MESSAGES = 1_024
 
+/** Maximum size of an encoded command in bytes, so that it fits into a frame between hosts. */
+private const val MAX_COMMAND_BYTES = 24 * 1024 * 1024
+
 /** Log size in bytes at which a snapshot replaces the log. */
 private const val SNAPSHOT_LOG_BYTES = 2L * 1024 * 1024
 
@@ -97,6 +102,7 @@
  *
  * @property claims number of claims in the control state
  * @property isDiskFailing whether the last write to the data folder failed
+ * @property skippedEntries committed entries since the start that could not be applied
  */
 internal data class ReplicaStatus(
     val role: ReplicaRole,
@@ -105,7 +111,8 @@
     val commitIndex: LogIndex,
     val membership: Membership,
     val claims: Int,
-    val isDiskFailing: Boolean
+    val isDiskFailing: Boolean,
+    val skippedEntries: Long
 )
 
 /** Connects a [ReplicaTask] to the other replicas and to the users of the policy. */
@@ -158,6 +165,7 @@
     private var lastReadNumber = 0L
     private var isDiskFailing = false
     private var isDiskLost = false
+    private var skippedEntries = 0L
     private var loggedRole = replica.role
 
     /**
@@ -300,7 +308,7 @@
 
     private fun onQuery(query: ControlQuery, onReply: (ControlReply) -> Unit) {
         when (query) {
-            is ControlQuery.Apply -> propose(encodeCommand(query.command), onReply)
+            is ControlQuery.Apply -> propose(query.command, onReply)
 
             is ControlQuery.ChangeMembers -> changeMembers(query, onReply)
 
@@ -314,8 +322,15 @@
         }
     }
 
-    private fun propose(command: CommandBytes, onReply: (ControlReply) -> Unit) {
-        when (val proposal = replica.propose(command)) {
+    private fun propose(command: ControlCommand, onReply: (ControlReply) -> Unit) {
+        val bytes = encodeCommand(command)
+        val fault = faultOrNull(command, bytes)
+        if (fault != null && replica.role == ReplicaRole.Leader) {
+            log.warn("a command is refused: {}", fault)
+            onReply(ControlReply.Refused(fault))
+            return
+        }
+        when (val proposal = replica.propose(bytes)) {
             is ProposalResult.Rejected -> onReply(rejectionReply(proposal.error))
 
             is ProposalResult.Accepted -> {
@@ -325,6 +340,16 @@
         }
     }
 
+    /**
+     * Returns why [command], encoded as [bytes], must not enter the log, or `null` if it may. What
+     * is in the log, all replicas have to receive and to apply.
+     */
+    private fun faultOrNull(command: ControlCommand, bytes: CommandBytes): String? = when {
+        bytes.bytes.size > MAX_COMMAND_BYTES -> "the command has ${bytes.bytes.size} bytes"
+        decodeCommandOrNull(bytes) == null -> "the command cannot be decoded"
+        else -> command.faultOrNull()
+    }
+
     private fun changeMembers(query: ControlQuery.ChangeMembers, onReply: (ControlReply) -> Unit) {
         val change = when (query.change) {
             GroupChange.AddLearner -> MemberChange.AddLearner(query.host)
@@ -434,7 +459,7 @@
         appliedIndex = entry.index
         val pending = commands.remove(entry.index)
         val reply = when (val content = entry.content) {
-            is EntryContent.Command -> applyCommand(content)
+            is EntryContent.Command -> applyCommand(entry.index, content)
             is EntryContent.Members -> ControlReply.MembersChanged
             EntryContent.Empty -> ControlReply.OutcomeUnknown
         }
@@ -449,9 +474,16 @@
         )
     }
 
-    private fun applyCommand(content: EntryContent.Command): ControlReply {
-        val answer = state.apply(decodeCommand(content.command))
-        return ControlReply.Answered(answer)
+    private fun applyCommand(index: LogIndex, content: EntryContent.Command): ControlReply {
+        val answer = decodeCommandOrNull(content.command)?.let(state::apply)
+        return if (answer == null) skip(index) else ControlReply.Answered(answer)
+    }
+
+    /** Leaves out the entry at [index], as all replicas do: none of them can decode it. */
+    private fun skip(index: LogIndex): ControlReply {
+        skippedEntries++
+        log.error("entry {} of the log is skipped: its command cannot be decoded", index)
+        return ControlReply.Refused("the command cannot be decoded")
     }
 
     private fun failRead(read: ReadId) {
@@ -503,7 +535,8 @@
         commitIndex = replica.commitIndex,
         membership = replica.membership,
         claims = state.status().claims,
-        isDiskFailing = isDiskFailing
+        isDiskFailing = isDiskFailing,
+        skippedEntries = skippedEntries
     )
 
     private fun restoredState(): ControlState =
--- a/daemon/src/main/kotlin/io/primroseflow/daemon/peer/PeerFrames.kt
+++ b/daemon/src/main/kotlin/io/primroseflow/daemon/peer/PeerFrames.kt
@@ -10,7 +10,7 @@
 import kotlinx.serialization.cbor.Cbor
 
 /** Maximum size of an encoded frame, in bytes. */
-private const val MAX_FRAME_BYTES = 32 * 1024 * 1024
+internal const val MAX_FRAME_BYTES: Int = 32 * 1024 * 1024
 
 /** Size of the length that precedes an encoded frame, in bytes. */
 internal const val LENGTH_BYTES: Int = 4
