Keep the failure of a listener from ending the control replica

A policy whose users fail on it, or a reply that throws, ended the replica in the middle of its effects, and the policy is offered again at each start.

Cause: the replica task called its listener and the callbacks of queries without containment, before it reported its effects as persisted.

Evidence: ReplicaListenerTest. Before, all three replicas ended: "does not end the replica" timed out after 60 s, and "costs only its own reply" ended with "all replicas have ended".

Change: each call to the listener and each reply is contained by itself.

--- a/daemon/src/main/kotlin/io/primroseflow/daemon/control/ReplicaTask.kt
+++ b/daemon/src/main/kotlin/io/primroseflow/daemon/control/ReplicaTask.kt
@@ -26,6 +26,7 @@
 import io.primroseflow.control.decodeCommandOrNull
 import io.primroseflow.control.encodeCommand
 import io.primroseflow.control.faultOrNull
+import io.primroseflow.daemon.contain
 import io.primroseflow.daemon.peer.CallId
 import io.primroseflow.daemon.peer.CallIds
 import io.primroseflow.daemon.peer.ControlQuery
@@ -188,7 +189,7 @@
 
     /** Enqueues [query]. [onReply] is called once with the reply and must not block. */
     fun ask(query: ControlQuery, onReply: (ControlReply) -> Unit) {
-        mailbox.trySend(ReplicaTaskMessage.Query(query, onReply))
+        mailbox.trySend(ReplicaTaskMessage.Query(query) { reply -> notify { onReply(reply) } })
     }
 
     /** Enqueues the answer of the replica [from] whether it has any history. */
@@ -209,7 +210,7 @@
     /** Runs this task until cancelled or until the replica must not continue. */
     suspend fun run(): ReplicaExitReason {
         if (isWaitingToJoin && !confirmNeverVoted()) return ReplicaExitReason.DiskLost
-        state.policy?.let(listener::onPolicy)
+        state.policy?.let(::offer)
         while (true) {
             val first = withTimeoutOrNull(TICK_INTERVAL) { mailbox.receive() }
             first?.let(::handle)
@@ -380,13 +381,13 @@
             val effects = replica.effects()
             if (effects.isEmpty) return
             persist(effects)
-            effects.messages.forEach { listener.send(it.to, it.message) }
+            effects.messages.forEach { notify { listener.send(it.to, it.message) } }
             effects.snapshot?.let(::restore)
             val before = state.policy
             effects.committed.forEach(::apply)
             val after = state.policy
             // If several policies are applied together, as after a restart, only the last counts.
-            if (after != null && after !== before) listener.onPolicy(after)
+            if (after != null && after !== before) offer(after)
             effects.failedReads.forEach { failRead(it) }
             confirmedReads += effects.confirmedReads
             answerReads()
@@ -452,7 +453,7 @@
         appliedIndex = snapshot.metadata.index
         commands.values.forEach { it.onReply(ControlReply.OutcomeUnknown) }
         commands.clear()
-        state.policy?.let(listener::onPolicy)
+        state.policy?.let(::offer)
     }
 
     private fun apply(entry: LogEntry) {
@@ -486,6 +487,13 @@
         return ControlReply.Refused("the command cannot be decoded")
     }
 
+    private fun offer(policy: AcceptedPolicy) = notify { listener.onPolicy(policy) }
+
+    /** Runs [call], whose failure must not keep the replica from carrying out its effects. */
+    private inline fun notify(call: () -> Unit) {
+        contain({ log.error("a listener of the control replica has failed", it) }, call)
+    }
+
     private fun failRead(read: ReadId) {
         reads.remove(read)?.onReply?.invoke(ControlReply.NotLeader(replica.leader))
     }
