--- a/daemon/src/main/kotlin/io/primroseflow/daemon/control/ReplicaTask.kt
+++ b/daemon/src/main/kotlin/io/primroseflow/daemon/control/ReplicaTask.kt
@@ -21,9 +21,12 @@
 import io.primroseflow.consensus.Snapshot
 import io.primroseflow.consensus.Term
 import io.primroseflow.control.AcceptedPolicy
+import io.primroseflow.control.ControlCommand
 import io.primroseflow.control.ControlState
-import io.primroseflow.control.decodeCommand
+import io.primroseflow.control.decodeCommandOrNull
 import io.primroseflow.control.encodeCommand
+import io.primroseflow.control.faultOrNull
+import io.primroseflow.daemon.contain
 import io.primroseflow.daemon.peer.CallId
 import io.primroseflow.daemon.peer.CallIds
 import io.primroseflow.daemon.peer.ControlQuery
@@ -89,6 +92,9 @@
 /** Maximum number of messages whose effects are written to the disk together. */
 private const val MAX_BATCH_MESSAGES = 1_024
 
+/** Maximum size of an encoded command in bytes, so that it fits into a frame between hosts. */
+private const val MAX_COMMAND_BYTES = 24 * 1024 * 1024
+
 /** Log size in bytes at which a snapshot replaces the log. */
 private const val SNAPSHOT_LOG_BYTES = 2L * 1024 * 1024
 
@@ -97,6 +103,7 @@
  *
  * @property claims number of claims in the control state
  * @property isDiskFailing whether the last write to the data folder failed
+ * @property skippedEntries committed entries since the start that could not be applied
  */
 internal data class ReplicaStatus(
     val role: ReplicaRole,
@@ -105,7 +112,8 @@
     val commitIndex: LogIndex,
     val membership: Membership,
     val claims: Int,
-    val isDiskFailing: Boolean
+    val isDiskFailing: Boolean,
+    val skippedEntries: Long
 )
 
 /** Connects a [ReplicaTask] to the other replicas and to the users of the policy. */
@@ -158,6 +166,7 @@
     private var lastReadNumber = 0L
     private var isDiskFailing = false
     private var isDiskLost = false
+    private var skippedEntries = 0L
     private var loggedRole = replica.role
 
     /**
@@ -180,7 +189,7 @@
 
     /** Enqueues [query]. [onReply] is called once with the reply and must not block. */
     fun ask(query: ControlQuery, onReply: (ControlReply) -> Unit) {
-        mailbox.trySend(ReplicaTaskMessage.Query(query, onReply))
+        mailbox.trySend(ReplicaTaskMessage.Query(query) { reply -> notify { onReply(reply) } })
     }
 
     /** Enqueues the answer of the replica [from] whether it has any history. */
@@ -201,7 +210,7 @@
     /** Runs this task until cancelled or until the replica must not continue. */
     suspend fun run(): ReplicaExitReason {
         if (isWaitingToJoin && !confirmNeverVoted()) return ReplicaExitReason.DiskLost
-        state.policy?.let(listener::onPolicy)
+        state.policy?.let(::offer)
         while (true) {
             val first = withTimeoutOrNull(TICK_INTERVAL) { mailbox.receive() }
             first?.let(::handle)
@@ -300,7 +309,7 @@
 
     private fun onQuery(query: ControlQuery, onReply: (ControlReply) -> Unit) {
         when (query) {
-            is ControlQuery.Apply -> propose(encodeCommand(query.command), onReply)
+            is ControlQuery.Apply -> propose(query.command, onReply)
 
             is ControlQuery.ChangeMembers -> changeMembers(query, onReply)
 
@@ -314,8 +323,15 @@
         }
     }
 
-    private fun propose(command: CommandBytes, onReply: (ControlReply) -> Unit) {
-        when (val proposal = replica.propose(command)) {
+    private fun propose(command: ControlCommand, onReply: (ControlReply) -> Unit) {
+        val bytes = encodeCommand(command)
+        val fault = faultOrNull(command, bytes)
+        if (fault != null && replica.role == ReplicaRole.Leader) {
+            log.warn("a command is refused: {}", fault)
+            onReply(ControlReply.Refused(fault))
+            return
+        }
+        when (val proposal = replica.propose(bytes)) {
             is ProposalResult.Rejected -> onReply(rejectionReply(proposal.error))
 
             is ProposalResult.Accepted -> {
@@ -325,6 +341,16 @@
         }
     }
 
+    /**
+     * Returns why [command], encoded as [bytes], must not enter the log, or `null` if it may. What
+     * is in the log, all replicas have to receive and to apply.
+     */
+    private fun faultOrNull(command: ControlCommand, bytes: CommandBytes): String? = when {
+        bytes.bytes.size > MAX_COMMAND_BYTES -> "the command has ${bytes.bytes.size} bytes"
+        decodeCommandOrNull(bytes) == null -> "the command cannot be decoded"
+        else -> command.faultOrNull()
+    }
+
     private fun changeMembers(query: ControlQuery.ChangeMembers, onReply: (ControlReply) -> Unit) {
         val change = when (query.change) {
             GroupChange.AddLearner -> MemberChange.AddLearner(query.host)
@@ -355,13 +381,13 @@
             val effects = replica.effects()
             if (effects.isEmpty) return
             persist(effects)
-            effects.messages.forEach { listener.send(it.to, it.message) }
+            effects.messages.forEach { notify { listener.send(it.to, it.message) } }
             effects.snapshot?.let(::restore)
             val before = state.policy
             effects.committed.forEach(::apply)
             val after = state.policy
             // If several policies are applied together, as after a restart, only the last counts.
-            if (after != null && after !== before) listener.onPolicy(after)
+            if (after != null && after !== before) offer(after)
             effects.failedReads.forEach { failRead(it) }
             confirmedReads += effects.confirmedReads
             answerReads()
@@ -427,14 +453,14 @@
         appliedIndex = snapshot.metadata.index
         commands.values.forEach { it.onReply(ControlReply.OutcomeUnknown) }
         commands.clear()
-        state.policy?.let(listener::onPolicy)
+        state.policy?.let(::offer)
     }
 
     private fun apply(entry: LogEntry) {
         appliedIndex = entry.index
         val pending = commands.remove(entry.index)
         val reply = when (val content = entry.content) {
-            is EntryContent.Command -> applyCommand(content)
+            is EntryContent.Command -> applyCommand(entry.index, content)
             is EntryContent.Members -> ControlReply.MembersChanged
             EntryContent.Empty -> ControlReply.OutcomeUnknown
         }
@@ -449,9 +475,23 @@
         )
     }
 
-    private fun applyCommand(content: EntryContent.Command): ControlReply {
-        val answer = state.apply(decodeCommand(content.command))
-        return ControlReply.Answered(answer)
+    private fun applyCommand(index: LogIndex, content: EntryContent.Command): ControlReply {
+        val answer = decodeCommandOrNull(content.command)?.let(state::apply)
+        return if (answer == null) skip(index) else ControlReply.Answered(answer)
+    }
+
+    /** Leaves out the entry at [index], as all replicas do: none of them can decode it. */
+    private fun skip(index: LogIndex): ControlReply {
+        skippedEntries++
+        log.error("entry {} of the log is skipped: its command cannot be decoded", index)
+        return ControlReply.Refused("the command cannot be decoded")
+    }
+
+    private fun offer(policy: AcceptedPolicy) = notify { listener.onPolicy(policy) }
+
+    /** Runs [call], whose failure must not keep the replica from carrying out its effects. */
+    private inline fun notify(call: () -> Unit) {
+        contain({ log.error("a listener of the control replica has failed", it) }, call)
     }
 
     private fun failRead(read: ReadId) {
@@ -503,7 +543,8 @@
         commitIndex = replica.commitIndex,
         membership = replica.membership,
         claims = state.status().claims,
-        isDiskFailing = isDiskFailing
+        isDiskFailing = isDiskFailing,
+        skippedEntries = skippedEntries
     )
 
     private fun restoredState(): ControlState =
