Ignore replica messages with values that no replica sends

Cause: a replica took the values of messages as they came.

Evidence: ReplicaTest "a message with impossible values": all cases failed before, the gap and the reverse order with IllegalStateException "entry 3 does not follow 1", the reply by committing index 1.

Change: Replica.receive checks a message before it changes anything, and a leader ignores replies about entries or rounds that it does not have.

--- a/core/src/main/kotlin/io/primroseflow/consensus/LeaderRole.kt
+++ b/core/src/main/kotlin/io/primroseflow/consensus/LeaderRole.kt
@@ -165,6 +165,8 @@
 
     fun onAppendReply(from: HostId, reply: ReplicaMessage.AppendReply, now: Instant) {
         if (reply.term != term || from !in membership.all) return
+        if (reply.round > leaderState.round) return
+        if (reply.isSuccess && reply.index > log.lastIndex) return
         val progress = leaderState.progressOf(from)
         progress.onReply(now, reply.round)
         if (reply.isSuccess) {
@@ -179,6 +181,7 @@
 
     fun onSnapshotReply(from: HostId, reply: ReplicaMessage.SnapshotReply, now: Instant) {
         if (reply.term != term || from !in membership.all) return
+        if (reply.index > log.lastIndex) return
         val progress = leaderState.progressOf(from)
         // The reply does not echo a heartbeat round, so it confirms no reads.
         progress.onReply(now, round = 0)
--- a/core/src/main/kotlin/io/primroseflow/consensus/Replica.kt
+++ b/core/src/main/kotlin/io/primroseflow/consensus/Replica.kt
@@ -209,8 +209,9 @@
         return SnapshotMetadata(index, term, log.membershipAt(index))
     }
 
-    /** Handles a message that was sent by replica [from]. */
+    /** Handles a message that was sent by replica [from]; ignores one that no replica sends. */
     public fun receive(from: HostId, message: ReplicaMessage, now: Instant) {
+        if (!message.isPossible()) return
         if (isDisruptive(message, now)) return
         if (message.term > term && !isPreVote(message)) becomeFollower(message.term, now)
         when (message) {
--- a/core/src/test/kotlin/io/primroseflow/consensus/ReplicaTest.kt
+++ b/core/src/test/kotlin/io/primroseflow/consensus/ReplicaTest.kt
@@ -50,8 +50,68 @@
     receive(from, reply, start + 10.seconds)
 }
 
+private fun entry(index: Long, term: Long = 1, content: EntryContent = EntryContent.Empty) =
+    LogEntry(LogIndex(index), Term(term), content)
+
+private fun appendRequest(vararg entries: LogEntry, previousIndex: Long = 0, term: Long = 1) =
+    ReplicaMessage.AppendRequest(
+        term = Term(term),
+        previousIndex = LogIndex(previousIndex),
+        previousTerm = Term.ZERO,
+        entries = entries.toList(),
+        commitIndex = LogIndex(entries.size.toLong()),
+        round = 1
+    )
+
+private fun appendReply(index: Long, term: Long = 1) =
+    ReplicaMessage.AppendReply(Term(term), isSuccess = true, LogIndex(index), round = 1)
+
+/** Messages with values that no replica sends. */
+private val impossibleMessages = mapOf(
+    "entries with a gap" to appendRequest(entry(1), entry(3)),
+    "entries in reverse order" to appendRequest(entry(2), entry(1)),
+    "entries of a later term" to appendRequest(entry(1, term = 9)),
+    "a membership without voters" to
+        appendRequest(entry(1, content = EntryContent.Members(Membership(emptySet())))),
+    "a negative previous index" to appendRequest(entry(1), previousIndex = -5),
+    "the last possible term" to appendRequest(term = Long.MAX_VALUE),
+    "a vote request of the last possible term" to
+        voteRequest(Long.MAX_VALUE).copy(isTransfer = true),
+    "a negative term" to voteRequest(-1)
+)
+
 class ReplicaTest :
     DescribeSpec({
+        describe("a message with impossible values") {
+            // A group without a leader for good: one message ended its replicas or their elections.
+            for ((name, message) in impossibleMessages) {
+                it("changes nothing: $name") {
+                    val follower = replica()
+                    follower.receive(a, message, start)
+                    follower.effects().isEmpty shouldBe true
+                    follower.term shouldBe Term.ZERO
+                    follower.lastIndex shouldBe LogIndex.ZERO
+                }
+            }
+
+            it("commits nothing: a reply that confirms entries the leader does not have") {
+                val leader = electedLeader()
+                for (index in listOf(2L, -1L, Long.MAX_VALUE)) {
+                    leader.receive(b, appendReply(index), start + 10.seconds)
+                }
+                leader.commitIndex shouldBe LogIndex.ZERO
+                leader.confirm(b, index = 1)
+                leader.commitIndex shouldBe LogIndex(1)
+                leader.effects()
+                leader.propose(CommandBytes(byteArrayOf(1)))
+                val sent = leader.effects().messages.map { it.message }
+                sent.filterIsInstance<ReplicaMessage.AppendRequest>().sumOf {
+                    it.entries.size
+                } shouldBe
+                    1
+            }
+        }
+
         describe("an append request") {
             it("is limited in bytes, so that it does not delay heartbeats") {
                 val leader = electedLeader()
