Choose services by weights whose sum exceeds an Int

Callers would see: every request of a route closes its connection without an answer. The cause is a configuration that is valid and acknowledged, with weights whose sum wraps around to 0: chooseFor divided by it, and the failure was contained in the connection. Seen with real processes at an entry host (RemoteDisconnected, ArithmeticException at chooseFor).

The sum and the point are calculated as Long. RouteTableTest failed before with "/ by zero".

--- a/core/src/main/kotlin/io/primroseflow/routing/RouteTable.kt
+++ b/core/src/main/kotlin/io/primroseflow/routing/RouteTable.kt
@@ -38,8 +38,9 @@
 /** Chooses a service by weight; the same [key] always gets the same service. */
 public fun PersistentList<WeightedService>.chooseFor(key: String): ServiceId {
     if (size == 1) return first().service
-    val total = sumOf { it.weight }
-    var point = Math.floorMod(mixBits(key.hashCode()), total)
+    // The weights together may exceed an Int.
+    val total = sumOf { it.weight.toLong() }
+    var point = Math.floorMod(mixBits(key.hashCode()).toLong(), total)
     for (choice in this) {
         point -= choice.weight
         if (point < 0) return choice.service
--- a/core/src/test/kotlin/io/primroseflow/routing/RouteTableTest.kt
+++ b/core/src/test/kotlin/io/primroseflow/routing/RouteTableTest.kt
@@ -64,6 +64,18 @@
                 WeightedService(ServiceId("b"), 10)
             )
 
+            // Issue 44, the class: a configuration with such weights was acknowledged, and each
+            // request of the route then closed its connection without an answer.
+            it("is made by weights whose sum exceeds an Int") {
+                val wide = persistentListOf(
+                    WeightedService(ServiceId("a"), Int.MAX_VALUE),
+                    WeightedService(ServiceId("b"), Int.MAX_VALUE),
+                    WeightedService(ServiceId("c"), 2)
+                )
+                val chosen = (1..100).map { wide.chooseFor("request-$it").value }
+                chosen.toSet() shouldBe setOf("a", "b")
+            }
+
             it("chooses the same service for the same key") {
                 repeat(20) { split.chooseFor("id-7") shouldBe split.chooseFor("id-7") }
             }
