Restart lasting tasks after a timeout or a foreign cancellation

No task of the present code was found to throw one; the hole was in the design.

contain now treats TimeoutCancellationException as a failure. The loops of lasting tasks, and the poller of the list of targets, treat any cancellation as a failure unless their own coroutine is cancelled, which still ends them.

--- a/daemon/src/main/kotlin/io/primroseflow/daemon/Containment.kt
+++ b/daemon/src/main/kotlin/io/primroseflow/daemon/Containment.kt
@@ -5,7 +5,10 @@
 import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Job
+import kotlinx.coroutines.TimeoutCancellationException
+import kotlinx.coroutines.currentCoroutineContext
 import kotlinx.coroutines.delay
+import kotlinx.coroutines.ensureActive
 import kotlinx.coroutines.launch
 import org.apache.logging.log4j.LogManager
 
@@ -17,13 +20,16 @@
 /**
  * Runs [step] and passes its failure to [onFailure], so that it costs only this step.
  *
- * A stack overflow counts as a failure, since what others send may cause it. Cancellation and all
- * other errors of the virtual machine are thrown.
+ * A stack overflow counts as a failure, since what others send may cause it, and so does a timeout
+ * that [step] does not handle. Cancellation and all other errors of the virtual machine are thrown.
  *
  * @return the result of [step], or `null` if it has failed
  */
 internal inline fun <T> contain(onFailure: (Throwable) -> Unit, step: () -> T): T? = try {
     step()
+} catch (e: TimeoutCancellationException) {
+    onFailure(e)
+    null
 } catch (e: CancellationException) {
     throw e
 } catch (e: Exception) {
@@ -34,6 +40,19 @@
     null
 }
 
+/**
+ * Runs [step] like [contain]. In addition, a cancellation counts as a failure unless it is that of
+ * the calling coroutine, such as that of another task whose result [step] awaits.
+ */
+internal suspend fun containStep(onFailure: (Throwable) -> Unit, step: suspend () -> Unit) {
+    try {
+        contain(onFailure) { step() }
+    } catch (e: CancellationException) {
+        currentCoroutineContext().ensureActive()
+        onFailure(e)
+    }
+}
+
 /** Runs [step] every [interval] until cancelled; a failure costs only one of these runs. */
 internal suspend fun repeatContained(
     interval: Duration,
@@ -41,7 +60,7 @@
     step: suspend () -> Unit
 ): Nothing {
     while (true) {
-        contain(onFailure) { step() }
+        containStep(onFailure, step)
         delay(interval)
     }
 }
@@ -49,7 +68,7 @@
 /** Launches [task], which runs until cancelled, and starts it again whenever it has failed. */
 internal fun CoroutineScope.launchLasting(name: String, task: suspend () -> Unit): Job = launch {
     while (true) {
-        contain({ log.error("the task {} has failed and is started again", name, it) }) { task() }
+        containStep({ log.error("the task {} has failed and is started again", name, it) }, task)
         delay(RESTART_DELAY)
     }
 }
--- a/daemon/src/main/kotlin/io/primroseflow/daemon/fleet/TargetDirectory.kt
+++ b/daemon/src/main/kotlin/io/primroseflow/daemon/fleet/TargetDirectory.kt
@@ -3,7 +3,7 @@
 import com.github.michaelbull.result.Result
 import com.github.michaelbull.result.mapBoth
 import io.primroseflow.daemon.EventLog
-import io.primroseflow.daemon.contain
+import io.primroseflow.daemon.containStep
 import io.primroseflow.daemon.failureOf
 import io.primroseflow.fleet.FleetTarget
 import kotlin.time.Duration
@@ -47,7 +47,7 @@
     suspend fun run() {
         while (true) {
             if (isDue()) {
-                contain(log.failureOf("directory")) { readOnce() }
+                containStep(log.failureOf("directory")) { readOnce() }
                 delay(interval)
             } else {
                 delay(DUE_CHECK_INTERVAL)
--- a/daemon/src/test/kotlin/io/primroseflow/daemon/ContainmentTest.kt
+++ b/daemon/src/test/kotlin/io/primroseflow/daemon/ContainmentTest.kt
@@ -19,11 +19,14 @@
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 import kotlinx.coroutines.CancellationException
+import kotlinx.coroutines.CompletableDeferred
+import kotlinx.coroutines.cancelAndJoin
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.runBlocking
 import kotlinx.coroutines.test.advanceTimeBy
 import kotlinx.coroutines.test.runTest
 import kotlinx.coroutines.withContext
+import kotlinx.coroutines.withTimeout
 
 private val target = FleetTarget(
     TargetId("x"),
@@ -75,11 +78,36 @@
                 }
             }
 
+            // The class of issue 44: a task that ends for good without a word, here by a timeout or
+            // by the cancellation of another task.
+            it("is started again after a timeout or the cancellation of another task") {
+                runTest {
+                    var starts = 0
+                    val job = launchLasting("test") {
+                        when (++starts) {
+                            1 -> withTimeout(10.milliseconds) { delayLong() }
+                            2 -> CompletableDeferred<Int>().apply { cancel() }.await()
+                            else -> delayLong()
+                        }
+                    }
+                    advanceTimeBy(2.seconds)
+                    starts shouldBe 3
+                    job.cancelAndJoin()
+                    advanceTimeBy(2.seconds)
+                    starts shouldBe 3
+                }
+            }
+
             it("repeats its step although one has failed") {
                 runTest {
                     var steps = 0
                     val job = launch {
-                        repeatContained(100.milliseconds, {}) { if (++steps == 2) error("odd") }
+                        repeatContained(100.milliseconds, {}) {
+                            when (++steps) {
+                                2 -> error("odd")
+                                3 -> throw CancellationException("of another task")
+                            }
+                        }
                     }
                     advanceTimeBy(1_050.milliseconds)
                     steps shouldBe 11
