Give up opening a connection with the request at its deadline

What callers would see: nothing of their own request; the target was taken for unreachable and paused, since the deadline of a request ended while a connection to it was being opened.

Cause: since lasting tasks treat a timeout as a failure, contain() in openOrNull also took the timeout of the caller for one of its own, and the relay went on to release its slot as unreachable. Found by reading the change before it was in force anywhere.

Change: openOrNull checks afterwards whether its own coroutine is still active.

Evidence: TargetConnectionPoolTest fails without the change (expected false but was true) and passes with it.

--- a/daemon/src/main/kotlin/io/primroseflow/daemon/target/TargetConnectionPools.kt
+++ b/daemon/src/main/kotlin/io/primroseflow/daemon/target/TargetConnectionPools.kt
@@ -21,6 +21,8 @@
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 import kotlin.time.Instant
+import kotlinx.coroutines.currentCoroutineContext
+import kotlinx.coroutines.ensureActive
 import kotlinx.coroutines.withTimeoutOrNull
 
 /** Time limit for connecting to a target, which normally takes a few milliseconds. */
@@ -160,6 +162,8 @@
             val port = address.substringAfterLast(':').toInt()
             withTimeoutOrNull(CONNECT_TIMEOUT) { loop.connect(host, port) }
         }
+        // A deadline of the caller must not look like a target that cannot be reached.
+        currentCoroutineContext().ensureActive()
         if (socket != null) openedCount++
         return socket?.let { PooledConnection(it, address) }
     }
