--- a/core/src/main/kotlin/io/primroseflow/consensus/FollowerRole.kt
+++ b/core/src/main/kotlin/io/primroseflow/consensus/FollowerRole.kt
@@ -4,7 +4,10 @@
 import kotlin.time.Instant
 
 /** The behavior of a follower: appends the leader's entries and installs its snapshots. */
-internal class FollowerRole(private val state: ReplicaState) {
+internal class FollowerRole(
+    private val state: ReplicaState,
+    private val canRestore: (CommandBytes) -> Boolean
+) {
     private var partialSnapshot: SnapshotAssembler? = null
     private val log = state.log
     private val term get() = state.term
@@ -77,7 +80,14 @@
         partialSnapshot = assembler
         assembler.add(chunk.offset, chunk.bytes.bytes)
         val isComplete = chunk.isLast && assembler.size == chunk.offset + chunk.bytes.bytes.size
-        if (isComplete) installSnapshot(assembler.toSnapshot())
+        if (isComplete) {
+            val snapshot = assembler.toSnapshot()
+            if (!canRestore(snapshot.state)) {
+                partialSnapshot = null
+                return
+            }
+            installSnapshot(snapshot)
+        }
         replySnapshot(from, chunk.metadata, assembler.size, isComplete)
     }
 
--- a/core/src/main/kotlin/io/primroseflow/consensus/Replica.kt
+++ b/core/src/main/kotlin/io/primroseflow/consensus/Replica.kt
@@ -108,6 +108,8 @@
  * and read index, as described by D. Ongaro, "Consensus: Bridging Theory and Practice", 2014.
  *
  * @param initialMembership members of a group that has no log and no snapshot yet
+ * @param canRestore returns whether the driver can restore its state from a received snapshot; one
+ *   that it cannot restore is not installed
  */
 public class Replica(
     public val id: HostId,
@@ -115,11 +117,12 @@
     restored: RestoredState,
     settings: ReplicaSettings,
     random: Random,
-    now: Instant
+    now: Instant,
+    canRestore: (CommandBytes) -> Boolean = { true }
 ) {
     private val state = ReplicaState(id, initialMembership, restored, settings, random, now)
     private val log = state.log
-    private val followerRole = FollowerRole(state)
+    private val followerRole = FollowerRole(state, canRestore)
     private var leaderRole: LeaderRole? = null
     private var votes = HashSet<HostId>()
 
--- a/core/src/main/kotlin/io/primroseflow/control/ControlState.kt
+++ b/core/src/main/kotlin/io/primroseflow/control/ControlState.kt
@@ -64,6 +64,14 @@
         /** Restores a state from [bytes], a snapshot made by [toSnapshot]. */
         public fun fromSnapshot(bytes: CommandBytes): ControlState =
             ControlState(controlCbor.decodeFromByteArray(ControlSnapshot.serializer(), bytes.bytes))
+
+        /** Restores a state from [bytes], or returns `null` if they are not a snapshot. */
+        public fun fromSnapshotOrNull(bytes: CommandBytes): ControlState? = try {
+            fromSnapshot(bytes)
+        } catch (_: RuntimeException) {
+            // The decoder reports malformed input by exceptions of several types.
+            null
+        }
     }
 }
 
--- a/daemon/src/main/kotlin/io/primroseflow/daemon/control/ReplicaTask.kt
+++ b/daemon/src/main/kotlin/io/primroseflow/daemon/control/ReplicaTask.kt
@@ -155,7 +155,15 @@
     private val log = LogManager.getLogger(ReplicaTask::class.java)
     private val mailbox = Channel<ReplicaTaskMessage>(Channel.UNLIMITED)
     private val replica =
-        Replica(self, initialMembership, storage.restored, ReplicaSettings(), random, clock.now())
+        Replica(
+            id = self,
+            initialMembership = initialMembership,
+            restored = storage.restored,
+            settings = ReplicaSettings(),
+            random = random,
+            now = clock.now(),
+            canRestore = ::canRestore
+        )
     private val commands = HashMap<LogIndex, PendingCommand>()
     private val reads = HashMap<ReadId, PendingRead>()
     private val confirmedReads = ArrayList<ConfirmedRead>()
@@ -547,6 +555,12 @@
         skippedEntries = skippedEntries
     )
 
+    private fun canRestore(snapshot: CommandBytes): Boolean {
+        val canRestore = ControlState.fromSnapshotOrNull(snapshot) != null
+        if (!canRestore) log.error("a received snapshot cannot be decoded and is not installed")
+        return canRestore
+    }
+
     private fun restoredState(): ControlState =
         storage.restored.snapshot?.let { ControlState.fromSnapshot(it.state) } ?: ControlState()
 }
--- a/daemon/src/main/kotlin/io/primroseflow/daemon/storage/ReplicaStorage.kt
+++ b/daemon/src/main/kotlin/io/primroseflow/daemon/storage/ReplicaStorage.kt
@@ -11,8 +11,8 @@
 import io.primroseflow.consensus.Snapshot
 import java.io.IOException
 import kotlinx.serialization.ExperimentalSerializationApi
+import kotlinx.serialization.KSerializer
 import kotlinx.serialization.Serializable
-import kotlinx.serialization.SerializationException
 import kotlinx.serialization.cbor.Cbor
 
 /** The reason why a data folder cannot be used. */
@@ -188,7 +188,8 @@
             if (scan is FrameScan.Corrupt) return Err(StorageError.Corrupt(name, scan.offset))
             val valid = scan as FrameScan.Valid
             val records = valid.contents.map { content ->
-                decodeOrNull(content) ?: return Err(StorageError.Corrupt(name, 0))
+                decodeOrNull(LogRecord.serializer(), content)
+                    ?: return Err(StorageError.Corrupt(name, 0))
             }
             val first = records.firstOrNull() ?: return Err(StorageError.Corrupt(name, 0))
             val snapshot = first.snapshotIndex?.let { index ->
@@ -214,7 +215,8 @@
             val scan = scanFrames(folder.read(name))
             val content = (scan as? FrameScan.Valid)?.contents?.singleOrNull()
                 ?: return Err(StorageError.Corrupt(name, 0))
-            return Ok(storageCbor.decodeFromByteArray(Snapshot.serializer(), content))
+            val snapshot = decodeOrNull(Snapshot.serializer(), content)
+            return if (snapshot == null) Err(StorageError.Corrupt(name, 0)) else Ok(snapshot)
         }
 
         private fun replay(records: List<LogRecord>): List<LogEntry> {
@@ -231,11 +233,13 @@
             return entries
         }
 
-        private fun decodeOrNull(content: ByteArray): LogRecord? = try {
-            storageCbor.decodeFromByteArray(LogRecord.serializer(), content)
-        } catch (_: SerializationException) {
-            null
-        }
+        private fun <T : Any> decodeOrNull(serializer: KSerializer<T>, content: ByteArray): T? =
+            try {
+                storageCbor.decodeFromByteArray(serializer, content)
+            } catch (_: RuntimeException) {
+                // The decoder reports malformed input by exceptions of several types.
+                null
+            }
 
         private fun encodeRecord(record: LogRecord): ByteArray =
             encodeFrame(storageCbor.encodeToByteArray(LogRecord.serializer(), record))
--- a/daemon/src/test/kotlin/io/primroseflow/daemon/control/UnusableEntryTest.kt
+++ b/daemon/src/test/kotlin/io/primroseflow/daemon/control/UnusableEntryTest.kt
@@ -8,6 +8,9 @@
 import io.primroseflow.consensus.EntryContent
 import io.primroseflow.consensus.LogEntry
 import io.primroseflow.consensus.LogIndex
+import io.primroseflow.consensus.Membership
+import io.primroseflow.consensus.ReplicaMessage
+import io.primroseflow.consensus.SnapshotMetadata
 import io.primroseflow.consensus.Term
 import io.primroseflow.control.ControlAnswer
 import io.primroseflow.control.PolicyRevision
@@ -61,5 +64,25 @@
                     ask(raise(2)) shouldBe accepted(2)
                 }
             }
+
+            // All replicas end for good: each had replaced its state by one that none can decode.
+            it("does not install a snapshot that cannot be decoded") {
+                val members = Membership(groupHosts.toSet())
+                val chunk = ReplicaMessage.SnapshotChunk(
+                    term = Term(50),
+                    metadata = SnapshotMetadata(LogIndex(100), Term(49), members),
+                    offset = 0,
+                    bytes = CommandBytes(byteArrayOf(1, 2, 3)),
+                    isLast = true
+                )
+                ReplicaGroup().run {
+                    ask(raise(1)) shouldBe accepted(1)
+                    tasks.forEach { (host, task) ->
+                        task.receive(groupHosts.first { it != host }, chunk)
+                    }
+                    ask(raise(2)) shouldBe accepted(2)
+                    ended.shouldBeEmpty()
+                }
+            }
         }
     })
--- a/daemon/src/test/kotlin/io/primroseflow/daemon/storage/ReplicaStorageTest.kt
+++ b/daemon/src/test/kotlin/io/primroseflow/daemon/storage/ReplicaStorageTest.kt
@@ -165,6 +165,17 @@
                 restored.entries shouldContainExactly listOf(entry(3), entry(4))
             }
 
+            // The host ended with a trace that did not name the damaged file.
+            it("that cannot be decoded is reported as corrupt") {
+                val path = temporaryFolder()
+                withStorage(path) { it.replace(snapshotAt(2), HardState(Term(1)), emptyList()) }
+                val file = path.toFile().listFiles().orEmpty()
+                    .single { it.name.startsWith("snapshot-") }
+                file.writeBytes(encodeFrame(byteArrayOf(1, 2, 3)))
+                val error = ReplicaStorage.open(DiskFolder(path)).getError()
+                error.shouldBeInstanceOf<StorageError.Corrupt>().file shouldBe file.name
+            }
+
             it("is stored atomically with its entries, whichever step fails") {
                 for (step in 0..6) {
                     val path = temporaryFolder()
