Read the heads of messages as a whole before they are parsed

Callers saw: a 503 without a body, which promises that a booking is not run, when a target closed within the head of an answer.

Cause: Ktor's parser takes the end of its input for the end of the head and returns the status without any field; an error status then counted as an answer whose empty body ends with the connection. A 2xx did not, as it lacked the signature.

Change: one function reads a head up to its empty line, for requests and responses and in both ways of starting, and fails if the input ends earlier; the parser only sees complete heads. It replaces the byte limit of the socket.

--- a/daemon/src/main/kotlin/io/primroseflow/daemon/http/HttpConnection.kt
+++ b/daemon/src/main/kotlin/io/primroseflow/daemon/http/HttpConnection.kt
@@ -2,12 +2,10 @@
 
 import io.ktor.http.HttpStatusCode
 import io.ktor.http.cio.RequestResponseBuilder
-import io.ktor.http.cio.parseRequest
 import io.ktor.utils.io.ByteReadChannel
 import io.ktor.utils.io.ByteWriteChannel
 import io.ktor.utils.io.writeFully
 import io.ktor.utils.io.writePacket
-import io.primroseflow.daemon.socket.InputLimitException
 import io.primroseflow.daemon.socket.StreamSocket
 import io.primroseflow.daemon.target.BodyFraming
 import io.primroseflow.daemon.target.source
@@ -93,8 +91,10 @@
                     HttpStatusCode.RequestTimeout.value,
                     "the request was not received in time"
                 )
-        } catch (_: InputLimitException) {
+        } catch (_: HeadLimitException) {
             headersTooLarge()
+        } catch (_: IncompleteHeadException) {
+            Incoming.Closed
         } catch (e: MalformedMessageException) {
             Incoming.Invalid(HttpStatusCode.BadRequest.value, e.message ?: "malformed")
         } catch (e: IllegalArgumentException) {
@@ -183,9 +183,8 @@
         }
 
     private suspend fun readRequest(bounds: CallerBounds): Incoming {
-        socket.limitInput(bounds.headerBytes + HEAD_OVERHEAD_BYTES)
-        val parsed = parsingHttp { parseRequest(input) } ?: return Incoming.Closed
-        socket.limitInput(null)
+        val parsed = input.readRequestHead(bounds.headerBytes + HEAD_OVERHEAD_BYTES)
+            ?: return Incoming.Closed
         val head = HttpRequestHead(
             method = parsed.method.value,
             target = parsed.uri.toString(),
--- a/daemon/src/main/kotlin/io/primroseflow/daemon/socket/StreamSocket.kt
+++ b/daemon/src/main/kotlin/io/primroseflow/daemon/socket/StreamSocket.kt
@@ -31,9 +31,6 @@
 /** Thrown to a reader whose connection ends without the peer having ended its output. */
 private class ConnectionClosedException : IOException("the connection was closed before its end")
 
-/** Thrown if the peer sends more bytes than [StreamSocket.limitInput] allows. */
-internal class InputLimitException : IOException("more bytes than allowed")
-
 /**
  * A TCP connection of an [EventLoop].
  *
@@ -52,8 +49,6 @@
     private var failure: IOException? = null
     private var isInputEnded = false
     private var isClosing = false
-    private var receivedBytes = 0L
-    private var readLimit = Long.MAX_VALUE
 
     /** Channel of the bytes that the peer sends. */
     val input: ByteReadChannel = Input()
@@ -61,15 +56,6 @@
     /** Channel of the bytes to send; they are written when it is flushed. */
     val output: ByteWriteChannel = Output()
 
-    /**
-     * Lets reads fail once [bytes] more bytes have been read and the reader asks for further ones;
-     * `null` removes the limit.
-     */
-    fun limitInput(bytes: Int?) {
-        val readBytes = receivedBytes - received.size
-        readLimit = if (bytes == null) Long.MAX_VALUE else readBytes + bytes
-    }
-
     /**
      * Closes the connection after the bytes that were flushed before have been written, or after
      * a timeout if the peer does not read them.
@@ -97,7 +83,6 @@
         try {
             if (isClosing) return
             val count = bytes.readableBytes()
-            receivedBytes += count
             if (bytes.hasArray()) {
                 val from = bytes.arrayOffset() + bytes.readerIndex()
                 received.write(bytes.array(), from, from + count)
@@ -173,7 +158,6 @@
 
         override suspend fun awaitContent(min: Int): Boolean {
             while (received.size < min && !isInputEnded) {
-                if (receivedBytes - received.size > readLimit) throw InputLimitException()
                 if (!channel.config().isAutoRead) channel.config().isAutoRead = true
                 suspendCancellableCoroutine { continuation ->
                     reader = continuation
--- a/daemon/src/main/kotlin/io/primroseflow/daemon/target/TargetConnectionPools.kt
+++ b/daemon/src/main/kotlin/io/primroseflow/daemon/target/TargetConnectionPools.kt
@@ -2,7 +2,6 @@
 
 import io.ktor.http.HttpMethod
 import io.ktor.http.cio.RequestResponseBuilder
-import io.ktor.http.cio.parseResponse
 import io.ktor.utils.io.ByteReadChannel
 import io.ktor.utils.io.ByteWriteChannel
 import io.ktor.utils.io.availableForRead
@@ -11,7 +10,7 @@
 import io.primroseflow.daemon.contain
 import io.primroseflow.daemon.http.HttpAnswerHead
 import io.primroseflow.daemon.http.HttpField
-import io.primroseflow.daemon.http.parsingHttp
+import io.primroseflow.daemon.http.readResponseHead
 import io.primroseflow.daemon.http.toFields
 import io.primroseflow.daemon.socket.EventLoop
 import io.primroseflow.daemon.socket.StreamSocket
@@ -97,9 +96,7 @@
     }
 
     private suspend fun readAnyHead(): HttpAnswerHead? {
-        socket.limitInput(MAX_HEAD_BYTES)
-        val parsed = parsingHttp { parseResponse(input) } ?: return null
-        socket.limitInput(null)
+        val parsed = input.readResponseHead(MAX_HEAD_BYTES) ?: return null
         val head = HttpAnswerHead(parsed.status, parsed.headers.toFields())
         parsed.release()
         return head
--- a/daemon/src/main/kotlin/io/primroseflow/daemon/target/TargetConnections.kt
+++ b/daemon/src/main/kotlin/io/primroseflow/daemon/target/TargetConnections.kt
@@ -7,7 +7,6 @@
 import io.ktor.http.Url
 import io.ktor.http.cio.RequestResponseBuilder
 import io.ktor.http.cio.Response
-import io.ktor.http.cio.parseResponse
 import io.ktor.http.isSecure
 import io.ktor.network.sockets.Socket
 import io.ktor.network.sockets.aSocket
@@ -16,13 +15,11 @@
 import io.ktor.network.tls.tls
 import io.ktor.utils.io.ByteReadChannel
 import io.ktor.utils.io.ByteWriteChannel
-import io.ktor.utils.io.readByte
 import io.ktor.utils.io.writeFully
 import io.ktor.utils.io.writePacket
-import io.primroseflow.daemon.http.parsingHttp
+import io.primroseflow.daemon.http.readResponseHead
 import io.primroseflow.daemon.newSelector
 import io.primroseflow.daemon.request.HeaderField
-import java.io.ByteArrayOutputStream
 import java.io.IOException
 import java.nio.channels.UnresolvedAddressException
 import kotlin.time.Duration
@@ -77,29 +74,7 @@
      * @return `null` if the target closed the connection before it
      * @throws IOException if the head is too long, malformed or incomplete
      */
-    suspend fun readHead(): Response? {
-        val head = readHeadBytes() ?: return null
-        return parsingHttp { parseResponse(ByteReadChannel(head)) }
-    }
-
-    /** Reads up to and including the first empty line, as the parser has no limit on a head. */
-    private suspend fun readHeadBytes(): ByteArray? {
-        if (!input.awaitContent()) return null
-        val head = ByteArrayOutputStream()
-        var lineLength = 0
-        while (true) {
-            if (head.size() == MAX_HEAD_BYTES) {
-                throw IOException("response head of more than $MAX_HEAD_BYTES bytes")
-            }
-            val byte = input.readByte().toInt()
-            head.write(byte)
-            when (byte.toChar()) {
-                '\n' -> if (lineLength == 0) return head.toByteArray() else lineLength = 0
-                '\r' -> Unit
-                else -> lineLength++
-            }
-        }
-    }
+    suspend fun readHead(): Response? = input.readResponseHead(MAX_HEAD_BYTES)
 
     override fun close() {
         socket.close()
