Forward only what goes on with a stream that broke off

Callers saw, where a stream broke off and was resumed at another target: the text of an error or a JSON error in their stream, events that they had, events of another run behind events without ids, or the last chunk behind an answer without any event. A 204 for a stream was followed by chunks.

Cause: any signed 200 with the id of the request counted as the rest of the stream.

Error statuses, rejections, unsigned answers and answers to other requests ended the stream without the last chunk before.

Change: an answer that resumes a stream must have its media type if both state one, its first event must have an id above the last one that was forwarded, and without any event it does not complete the stream: it broke off before its end, and an empty answer cannot be told from that of a target that does not know the stream. A stream whose events have no ids is not begun anew. Answers without a body are not streamed.

--- a/daemon/src/main/kotlin/io/primroseflow/daemon/entry/RequestRelay.kt
+++ b/daemon/src/main/kotlin/io/primroseflow/daemon/entry/RequestRelay.kt
@@ -7,6 +7,7 @@
 import io.primroseflow.daemon.target.ExchangeListener
 import io.primroseflow.daemon.target.ExchangeResult
 import io.primroseflow.daemon.target.PooledConnection
+import io.primroseflow.daemon.target.ResumedStream
 import io.primroseflow.fleet.AnswerLoss
 import io.primroseflow.fleet.FleetTarget
 import io.primroseflow.fleet.SlotDecision
@@ -69,6 +70,10 @@
     private val memory = context.answers.openShare()
     private var lastEventId: String? = null
     private var hasStream = false
+    private var mediaType: String? = null
+
+    /** Whether another target can go on with what was forwarded of a stream. */
+    private var isStreamResumable = true
     private var dispatches = 0
     private var attempts = 0
 
@@ -270,6 +275,7 @@
             body = request.incoming.body,
             address = target.address,
             isStream = route.isStream,
+            resumed = lastEventId?.let { ResumedStream(it, mediaType) },
             carriedOn = carriedOn,
             memory = memory,
             maxIdle = if (isRepeatable) Duration.INFINITE else NON_IDEMPOTENT_MAX_IDLE,
@@ -342,7 +348,7 @@
             excludeLastTarget()
             val isRepeatable = route.repeatability != Repeatability.NonIdempotent
             hasReachedTarget = true
-            if (isRepeatable && canRetry()) null else failureResult()
+            if (isRepeatable && isStreamResumable && canRetry()) null else failureResult()
         }
     }
 
@@ -420,17 +426,25 @@
         override suspend fun onStream(head: HttpAnswerHead) {
             if (hasStream) return
             hasStream = true
+            mediaType = head.fields.findOrNull("Content-Type")
             writeToCaller { connection.startChunked(head.status, head.fields.endToEnd(), closes) }
         }
 
-        override suspend fun onEvents(bytes: ByteArray, length: Int, lastId: String?) {
+        override suspend fun onEvents(
+            bytes: ByteArray,
+            length: Int,
+            lastId: String?,
+            isResumable: Boolean
+        ) {
             if (firstAt == null) firstAt = clock.now()
             if (beganAt == null) beganAt = firstAt
+            isStreamResumable = isResumable
             writeToCaller { connection.writeChunk(bytes, 0, length) }
             lastEventId = lastId ?: lastEventId
         }
 
         override suspend fun awaitReplacement(): Boolean {
+            if (!isStreamResumable) return false
             val slotRequest = nextSlotRequest(excluded + target, isRetry = true)
             val decision = context.slots.acquire(slotRequest)
             if (decision is SlotDecision.Refuse) return false
--- a/daemon/src/main/kotlin/io/primroseflow/daemon/target/EventSplitter.kt
+++ b/daemon/src/main/kotlin/io/primroseflow/daemon/target/EventSplitter.kt
@@ -11,6 +11,8 @@
 
 private const val CARRIAGE_RETURN = '\r'.code.toByte()
 
+private const val COLON = ':'.code.toByte()
+
 private val idPrefix = "id:".encodeToByteArray()
 
 /**
@@ -18,8 +20,10 @@
  *
  * Only complete events are forwarded, so that a stream that is cut within an event can be resumed
  * after the last one. The format is defined in WHATWG HTML, section "Server-sent events".
+ *
+ * @param resumesAfter id of the event after which the input must go on, or `null` if it is new
  */
-internal class EventSplitter {
+internal class EventSplitter(private val resumesAfter: String? = null) {
     private var bytes = ByteArray(INITIAL_CAPACITY_BYTES)
     private var length = 0
     private var scanned = 0
@@ -40,6 +44,11 @@
     var lastId: String? = null
         private set
     private var pendingId: String? = null
+    private var pendingFields = 0
+
+    /** Whether there were complete events other than comments, but none with an id. */
+    var lacksIds: Boolean = false
+        private set
 
     /** Whether the input ends within an event. */
     val hasPartialEvent: Boolean get() = length > completeLength
@@ -47,7 +56,8 @@
     /**
      * Adds the first [count] bytes of [input].
      *
-     * @throws IOException if an event exceeds the maximum size
+     * @throws IOException if an event exceeds the maximum size, or if the input does not go on
+     * after the event that it must resume
      */
     fun add(input: ByteArray, count: Int) {
         if (length + count > bytes.size) {
@@ -81,17 +91,37 @@
         if (contentEnd == lineStart) {
             if (lineStart > completeLength) onEvent()
             completeLength = end + 1
-        } else if (isIdLine(contentEnd)) {
-            val from = lineStart + idPrefix.size
-            pendingId = bytes.decodeToString(from, contentEnd).trim()
+        } else {
+            if (bytes[lineStart] != COLON) pendingFields++
+            if (isIdLine(contentEnd)) {
+                val from = lineStart + idPrefix.size
+                pendingId = bytes.decodeToString(from, contentEnd).trim()
+            }
         }
         lineStart = end + 1
     }
 
     private fun onEvent() {
         eventCount++
+        if (pendingFields > 0 && lastId == null) onFirstEvents(pendingId)
         lastId = pendingId ?: lastId
         pendingId = null
+        pendingFields = 0
+    }
+
+    /** Handles an event with [id] before which there was none with an id. */
+    private fun onFirstEvents(id: String?) {
+        if (resumesAfter != null && (id == null || !isAfter(id, resumesAfter))) {
+            throw IOException("the stream does not go on after the event $resumesAfter")
+        }
+        lacksIds = id == null
+    }
+
+    /** Returns whether [id] is greater than [other], or differs from it if they are no numbers. */
+    private fun isAfter(id: String, other: String): Boolean {
+        val number = id.toLongOrNull()
+        val otherNumber = other.toLongOrNull()
+        return if (number != null && otherNumber != null) number > otherNumber else id != other
     }
 
     private fun isIdLine(contentEnd: Int): Boolean {
--- a/daemon/src/main/kotlin/io/primroseflow/daemon/target/TargetExchanges.kt
+++ b/daemon/src/main/kotlin/io/primroseflow/daemon/target/TargetExchanges.kt
@@ -57,6 +57,7 @@
  * @property id request id that the target repeats in its answer
  * @property address host and port of the target
  * @property isStream whether a successful answer is forwarded event by event
+ * @property resumed the stream that the answer goes on with, or `null` if none has begun
  * @property carriedOn connections on which the request was sent before, which the exchange adds to. On
  *   these a late second copy of a former answer could not be told from the answer to this send
  * @property memory for an answer that is read as a whole, until it was forwarded
@@ -76,6 +77,7 @@
     val body: ByteArray,
     val address: String,
     val isStream: Boolean,
+    val resumed: ResumedStream?,
     val carriedOn: MutableSet<PooledConnection>,
     val memory: ByteBudget.Share,
     val maxIdle: Duration,
@@ -84,6 +86,22 @@
     val isReplaceable: Boolean
 )
 
+/**
+ * A stream that had begun at another target and broke off.
+ *
+ * @property lastId id of the last event that was forwarded
+ * @property mediaType value of its `Content-Type` field, or `null` if it had none
+ */
+internal class ResumedStream(val lastId: String, private val mediaType: String?) {
+    /** Returns whether an answer with [head] may go on with this stream. */
+    fun accepts(head: HttpAnswerHead): Boolean {
+        val other = head.fields.findOrNull("Content-Type")
+        return mediaType == null || other == null || essenceOf(mediaType) == essenceOf(other)
+    }
+
+    private fun essenceOf(value: String) = value.substringBefore(';').trim().lowercase()
+}
+
 /** The result of [TargetExchanger.run]. */
 internal sealed interface ExchangeResult {
     /**
@@ -131,8 +149,9 @@
      * Complete events arrived: the first [length] bytes of [bytes].
      *
      * @param lastId id of the last event that has one, or `null` if none has
+     * @param isResumable whether another target can go on after these events
      */
-    suspend fun onEvents(bytes: ByteArray, length: Int, lastId: String?)
+    suspend fun onEvents(bytes: ByteArray, length: Int, lastId: String?, isResumable: Boolean)
 
     /**
      * Waits until another target can take over, as this one is silent. Cancelled if it goes on.
@@ -278,7 +297,10 @@
                     "successful answer is unsigned or lacks the request id"
                 )
             }
-            if (isSuccess && dispatch.isStream) {
+            if (isSuccess && dispatch.isStream && framing != BodyFraming.Sized(0)) {
+                if (dispatch.resumed?.accepts(head) == false) {
+                    return ExchangeResult.Failed("a stream was resumed with another media type")
+                }
                 onProgress(dispatch.firstTimeout)
                 return readStream(head, framing)
             }
@@ -332,7 +354,7 @@
 
         private suspend fun readStream(head: HttpAnswerHead, framing: BodyFraming): ExchangeResult {
             val body = framing.source(connection.input)
-            val splitter = EventSplitter()
+            val splitter = EventSplitter(dispatch.resumed?.lastId)
             val buffer = ByteArray(READ_BUFFER_BYTES)
             var events = 0
             var hasStarted = false
@@ -347,7 +369,12 @@
                 if (splitter.completeLength == 0) continue
                 if (!hasStarted) listener.onStream(head)
                 hasStarted = true
-                listener.onEvents(splitter.buffer, splitter.completeLength, splitter.lastId)
+                listener.onEvents(
+                    splitter.buffer,
+                    splitter.completeLength,
+                    splitter.lastId,
+                    isResumable = !splitter.lacksIds
+                )
                 splitter.dropComplete()
             }
             if (splitter.hasPartialEvent) {
@@ -358,6 +385,10 @@
                 val cause = "connection ended before the first event"
                 return ExchangeResult.Failed(cause, isBroken = true)
             }
+            // A stream that broke off lacks events, so an answer without any does not complete it.
+            if (dispatch.resumed != null && splitter.lastId == null) {
+                return ExchangeResult.Failed("a stream was resumed without an event")
+            }
             if (!hasStarted) listener.onStream(head)
             isReusable = framing != BodyFraming.UntilClose && head.keepsConnection
             return ExchangeResult.Streamed(splitter.eventCount)
