Send no two requests with the same id on one connection

Callers saw: a request that had been refused and was sent again with its id ran twice, or would have been refused after it ran: the target wrote the refusal once more on the kept connection, and that counted as the answer to the new request. The same held for a request without an id and a refusal without one.

Cause: only one relay knew on which connections it had sent its request; the caller's next attempt has another relay. Without an id, any answer without one matched on any connection.

Change: a connection remembers hashes of the ids of its last 256 requests and is not used for a request with one of them; a request without an id gets a new connection.

--- a/daemon/src/main/kotlin/io/primroseflow/daemon/entry/RequestRelay.kt
+++ b/daemon/src/main/kotlin/io/primroseflow/daemon/entry/RequestRelay.kt
@@ -6,7 +6,6 @@
 import io.primroseflow.daemon.target.Dispatch
 import io.primroseflow.daemon.target.ExchangeListener
 import io.primroseflow.daemon.target.ExchangeResult
-import io.primroseflow.daemon.target.PooledConnection
 import io.primroseflow.daemon.target.ResumedStream
 import io.primroseflow.fleet.AnswerLoss
 import io.primroseflow.fleet.FleetTarget
@@ -66,7 +65,6 @@
     private val clock = context.clock
     private val route = request.route
     private val excluded = HashSet<TargetId>()
-    private val carriedOn = HashSet<PooledConnection>()
     private val memory = context.answers.openShare()
     private var lastEventId: String? = null
     private var hasStream = false
@@ -276,7 +274,6 @@
             address = target.address,
             isStream = route.isStream,
             resumed = lastEventId?.let { ResumedStream(it, mediaType) },
-            carriedOn = carriedOn,
             memory = memory,
             maxIdle = if (isRepeatable) Duration.INFINITE else NON_IDEMPOTENT_MAX_IDLE,
             firstTimeout = if (canRetryElsewhere) firstTimeout(timeLeft) else timeLeft,
--- a/daemon/src/main/kotlin/io/primroseflow/daemon/target/TargetConnectionPools.kt
+++ b/daemon/src/main/kotlin/io/primroseflow/daemon/target/TargetConnectionPools.kt
@@ -46,6 +46,9 @@
 
 private const val FIRST_FINAL_STATUS = 200
 
+/** Number of requests whose ids a connection remembers. */
+private const val MAX_REMEMBERED_IDS = 256
+
 /** A connection to a target that carries consecutive exchanges. */
 internal class PooledConnection(private val socket: StreamSocket, val address: String) {
     private val output: ByteWriteChannel = socket.output
@@ -53,6 +56,9 @@
     /** Channel of the bytes that the target sends. */
     val input: ByteReadChannel = socket.input
 
+    /** Hashes of the ids of the last requests that were sent. */
+    private val sentIds = IntArray(MAX_REMEMBERED_IDS)
+
     /** Number of exchanges that were started on this connection. */
     var exchangeCount: Int = 0
         private set
@@ -67,9 +73,24 @@
     val isClean: Boolean
         get() = input.availableForRead == 0 && !input.isClosedForRead && input.closedCause == null
 
+    /**
+     * Returns whether the answer to a request with [id] could be told from a late second copy of
+     * the answer to a former request. Equal hashes of different ids only cost a new connection.
+     */
+    fun canIdentify(id: String?): Boolean {
+        if (id == null) return exchangeCount == 0
+        val hash = id.hashCode()
+        return (0 until minOf(exchangeCount, MAX_REMEMBERED_IDS)).none { sentIds[it] == hash }
+    }
+
+    /** Records that a request with [id] is about to be sent. */
+    fun onDispatch(id: String?) {
+        sentIds[exchangeCount % MAX_REMEMBERED_IDS] = id.hashCode()
+        exchangeCount++
+    }
+
     /** Writes a request with its [body]. */
     suspend fun write(method: String, path: String, fields: List<HttpField>, body: ByteArray) {
-        exchangeCount++
         val builder = RequestResponseBuilder()
         builder.requestLine(HttpMethod.parse(method), path, HTTP_VERSION)
         fields.forEach { builder.headerLine(it.name, it.value) }
@@ -120,28 +141,28 @@
         private set
 
     /**
-     * Removes and returns an idle connection to [address] that was used within [maxIdle] and is not
-     * one of [except], or returns `null` if there is none.
+     * Removes and returns an idle connection to [address] that was used within [maxIdle] and
+     * satisfies [isSuitable], or returns `null` if there is none.
      */
     fun acquireOrNull(
         address: String,
         maxIdle: Duration,
-        except: Set<PooledConnection> = emptySet()
+        isSuitable: (PooledConnection) -> Boolean = { true }
     ): PooledConnection? {
         val queue = idle[address] ?: return null
         val now = clock.now()
         var found: PooledConnection? = null
-        val excepted = ArrayList<PooledConnection>()
+        val unsuitable = ArrayList<PooledConnection>()
         while (found == null) {
             val connection = queue.removeLastOrNull() ?: break
             val isFresh = now < connection.usableUntil && now - connection.idleSince <= maxIdle
             when {
                 !isFresh || !connection.isClean -> connection.close()
-                connection in except -> excepted += connection
+                !isSuitable(connection) -> unsuitable += connection
                 else -> found = connection
             }
         }
-        queue.addAll(excepted.asReversed())
+        queue.addAll(unsuitable.asReversed())
         if (queue.isEmpty()) idle.remove(address)
         return found
     }
--- a/daemon/src/main/kotlin/io/primroseflow/daemon/target/TargetExchanges.kt
+++ b/daemon/src/main/kotlin/io/primroseflow/daemon/target/TargetExchanges.kt
@@ -58,8 +58,6 @@
  * @property address host and port of the target
  * @property isStream whether a successful answer is forwarded event by event
  * @property resumed the stream that the answer goes on with, or `null` if none has begun
- * @property carriedOn connections on which the request was sent before, which the exchange adds to. On
- *   these a late second copy of a former answer could not be told from the answer to this send
  * @property memory for an answer that is read as a whole, until it was forwarded
  * @property maxIdle maximum time for which a reused connection may have been idle
  * @property firstTimeout time without the head of the answer, or without the first event of a
@@ -78,7 +76,6 @@
     val address: String,
     val isStream: Boolean,
     val resumed: ResumedStream?,
-    val carriedOn: MutableSet<PooledConnection>,
     val memory: ByteBudget.Share,
     val maxIdle: Duration,
     val firstTimeout: Duration,
@@ -176,7 +173,7 @@
         val grantedAt = time.markNow()
         if (!conditions.isAvailable(dispatch.target)) return ExchangeResult.Withheld
         val connection = pool
-            .acquireOrNull(dispatch.address, dispatch.maxIdle, dispatch.carriedOn)
+            .acquireOrNull(dispatch.address, dispatch.maxIdle) { it.canIdentify(dispatch.id) }
             ?: pool.openOrNull(dispatch.address)
             ?: return ExchangeResult.NotRun(isUnreachable = true, cause = "no connection")
         // The condition may have changed while the connection was opened.
@@ -184,7 +181,7 @@
             connection.close()
             return ExchangeResult.Withheld
         }
-        dispatch.carriedOn += connection
+        connection.onDispatch(dispatch.id)
         val exchange = Exchange(connection, dispatch, listener)
         var isReusable = false
         try {
