Take an answer with two different request ids for none

Callers saw: nothing yet; an answer that also has the id of another request counted by the first of the two.

Cause: only the first field of that name was read.

Change: all fields count.

--- a/daemon/src/main/kotlin/io/primroseflow/daemon/target/EngineExchanges.kt
+++ b/daemon/src/main/kotlin/io/primroseflow/daemon/target/EngineExchanges.kt
@@ -110,13 +110,10 @@
         return readEvents(EventStreamReader(framing.source(connection.input)))
     }
 
-    private fun interruptionOrNull(head: Response): Interruption? {
-        val echo = head.headers["X-Request-Id"]
-        return when {
-            head.status != HTTP_OK -> interruptionFor(head.status)
-            echo != null && echo.toString() != id -> Interruption.ForeignAnswer
-            else -> null
-        }
+    private fun interruptionOrNull(head: Response): Interruption? = when {
+        head.status != HTTP_OK -> interruptionFor(head.status)
+        head.hasOtherId(id) -> Interruption.ForeignAnswer
+        else -> null
     }
 
     private suspend fun readEvents(events: EventStreamReader): ExchangeEnd {
@@ -140,6 +137,10 @@
 internal fun interruptionFor(status: Int): Interruption =
     if (status == 429 || status == 503) Interruption.TargetRefused else Interruption.TargetFailed
 
+/** Returns whether this is an answer to a request with another id than [id]. */
+internal fun Response.hasOtherId(id: String): Boolean =
+    headers.getAll("X-Request-Id").any { it.toString() != id }
+
 /** Runs [exchange], in which bytes may be sent, and returns a failure as an interruption. */
 internal suspend fun interruptOnFailure(exchange: suspend () -> ExchangeEnd): ExchangeEnd = try {
     exchange()
--- a/daemon/src/main/kotlin/io/primroseflow/daemon/target/ServiceExchanges.kt
+++ b/daemon/src/main/kotlin/io/primroseflow/daemon/target/ServiceExchanges.kt
@@ -68,13 +68,11 @@
     private suspend fun readAnswer(connection: TargetConnection): ExchangeEnd {
         val head = withTimeout(timeouts.progress) { connection.readHead() }
             ?: return ExchangeEnd.Interrupted(Interruption.ConnectionLost)
-        val echo = head.headers["X-Request-Id"]?.toString()
+        val isForeign = head.hasOtherId(request.targetRequestId)
         val framing = if (work.method == "HEAD") BodyFraming.Sized(0) else head.bodyFraming()
         val part = headPart(head)
         head.release()
-        if (echo != null && echo != request.targetRequestId) {
-            return ExchangeEnd.Interrupted(Interruption.ForeignAnswer)
-        }
+        if (isForeign) return ExchangeEnd.Interrupted(Interruption.ForeignAnswer)
         if (!observer.onPart(part)) return ExchangeEnd.Interrupted(Interruption.AnswerTooLarge)
         return readBody(connection.input, framing)
     }
--- a/daemon/src/test/kotlin/io/primroseflow/daemon/target/ExchangeTest.kt
+++ b/daemon/src/test/kotlin/io/primroseflow/daemon/target/ExchangeTest.kt
@@ -150,6 +150,32 @@
                 }
             }
 
+            // Operators: a stream had begun and broke off, and callers found the error of the next
+            // answer in it, or it ended as if it were complete (ORDER, MIXED).
+            val errors = mapOf(
+                "status 500" to "HTTP/1.1 500 X\r\n\r\ndata: ${eventOf("oops")}\n\n",
+                "status 503" to "HTTP/1.1 503 X\r\nContent-Length: 4\r\n\r\noops",
+                "status 204" to "HTTP/1.1 204 X\r\n\r\n",
+                "status 100" to "HTTP/1.1 100 X\r\n\r\n",
+                "plain text" to streamHead() + chunk("HTTP/1.1 500 Oops\r\n\r\noops\n\n"),
+                "an error as an event" to streamHead() + chunk("data: {\"error\":\"oops\"}\n\n"),
+                "an event without the id" to streamHead() + chunk("data: oops\n\n"),
+                "no event" to streamHead() + "0\r\n\r\n",
+                "an empty body" to "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n",
+                "two ids" to stream(from = 2).replaceFirst("\r\n", "\r\nX-Request-Id: $ID\r\n")
+                    .replaceFirst("Content-Type", "X-Request-Id: other\r\nContent-Type")
+            )
+            for ((name, error) in errors) {
+                it("is interrupted if it breaks off and is resumed with $name") {
+                    val cut = stream().substringBefore(eventOf("gamma"))
+                    val run = runEngine { head ->
+                        (if (offsetIn(head) == null) cut else error).encodeToByteArray()
+                    }
+                    run.end.shouldBeInstanceOf<ExchangeEnd.Interrupted>()
+                    run.observer.events shouldContainExactly words.take(2).map { eventOf(it) }
+                }
+            }
+
             it("is not written if no connection to the target can be opened") {
                 val port = ServerSocket(0).use { it.localPort }
                 val observer = RecordingObserver()
@@ -228,6 +254,17 @@
                 end shouldBe ExchangeEnd.Interrupted(Interruption.ConnectionLost)
             }
 
+            // The id of another request in it says that it may be none to this one.
+            it("is not accepted with two ids") {
+                val twice = sized.replaceFirst(
+                    "Content-Length",
+                    "X-Request-Id: x\r\nContent-Length"
+                )
+                val (end, observer) = runService(twice.encodeToByteArray())
+                end shouldBe ExchangeEnd.Interrupted(Interruption.ForeignAnswer)
+                observer.parts.shouldBeEmpty()
+            }
+
             it("is not accepted from a target that answers another request") {
                 val foreign = sized.replace(ID, "two.r1").encodeToByteArray()
                 val (end, observer) = runService(foreign)
