--- a/daemon/src/main/kotlin/io/primroseflow/daemon/entry/RequestRelay.kt
+++ b/daemon/src/main/kotlin/io/primroseflow/daemon/entry/RequestRelay.kt
@@ -6,7 +6,7 @@
 import io.primroseflow.daemon.target.Dispatch
 import io.primroseflow.daemon.target.ExchangeListener
 import io.primroseflow.daemon.target.ExchangeResult
-import io.primroseflow.daemon.target.PooledConnection
+import io.primroseflow.daemon.target.ResumedStream
 import io.primroseflow.fleet.AnswerLoss
 import io.primroseflow.fleet.FleetTarget
 import io.primroseflow.fleet.SlotDecision
@@ -65,10 +65,13 @@
     private val clock = context.clock
     private val route = request.route
     private val excluded = HashSet<TargetId>()
-    private val carriedOn = HashSet<PooledConnection>()
     private val memory = context.answers.openShare()
     private var lastEventId: String? = null
     private var hasStream = false
+    private var mediaType: String? = null
+
+    /** Whether another target can go on with what was forwarded of a stream. */
+    private var isStreamResumable = true
     private var dispatches = 0
     private var attempts = 0
 
@@ -270,7 +273,7 @@
             body = request.incoming.body,
             address = target.address,
             isStream = route.isStream,
-            carriedOn = carriedOn,
+            resumed = lastEventId?.let { ResumedStream(it, mediaType) },
             memory = memory,
             maxIdle = if (isRepeatable) Duration.INFINITE else NON_IDEMPOTENT_MAX_IDLE,
             firstTimeout = if (canRetryElsewhere) firstTimeout(timeLeft) else timeLeft,
@@ -342,7 +345,7 @@
             excludeLastTarget()
             val isRepeatable = route.repeatability != Repeatability.NonIdempotent
             hasReachedTarget = true
-            if (isRepeatable && canRetry()) null else failureResult()
+            if (isRepeatable && isStreamResumable && canRetry()) null else failureResult()
         }
     }
 
@@ -420,17 +423,25 @@
         override suspend fun onStream(head: HttpAnswerHead) {
             if (hasStream) return
             hasStream = true
+            mediaType = head.fields.findOrNull("Content-Type")
             writeToCaller { connection.startChunked(head.status, head.fields.endToEnd(), closes) }
         }
 
-        override suspend fun onEvents(bytes: ByteArray, length: Int, lastId: String?) {
+        override suspend fun onEvents(
+            bytes: ByteArray,
+            length: Int,
+            lastId: String?,
+            isResumable: Boolean
+        ) {
             if (firstAt == null) firstAt = clock.now()
             if (beganAt == null) beganAt = firstAt
+            isStreamResumable = isResumable
             writeToCaller { connection.writeChunk(bytes, 0, length) }
             lastEventId = lastId ?: lastEventId
         }
 
         override suspend fun awaitReplacement(): Boolean {
+            if (!isStreamResumable) return false
             val slotRequest = nextSlotRequest(excluded + target, isRetry = true)
             val decision = context.slots.acquire(slotRequest)
             if (decision is SlotDecision.Refuse) return false
