Send no body with a refused HEAD request

Cause: a response was written with its body whatever the method of the request.

Evidence: EarlyRefusalsTest 'gets no body before the next answer' read the refusal's JSON as the head of the next answer before, and passes now.

--- a/daemon/src/main/kotlin/io/primroseflow/daemon/http/HttpConnection.kt
+++ b/daemon/src/main/kotlin/io/primroseflow/daemon/http/HttpConnection.kt
@@ -69,6 +69,9 @@
     var isResponseStarted: Boolean = false
         private set
 
+    /** Whether the current request has the method HEAD, so that its response has no body. */
+    private var isHeadRequest = false
+
     /** Whether a request is being read or answered. */
     var isBusy: Boolean = false
         private set
@@ -80,6 +83,7 @@
      */
     suspend fun receive(bounds: () -> CallerBounds): Incoming {
         isResponseStarted = false
+        isHeadRequest = false
         isBusy = false
         memory.close()
         val hasContent = withTimeoutOrNull(bounds().idleTimeout) { input.awaitContent() }
@@ -129,12 +133,16 @@
         head.headerLine("Content-Length", body.size.toString())
         head.emptyLine()
         output.writePacket(head.build())
-        // A slow reader must not make the output hold copies of the whole body.
+        if (!isHeadRequest) writeBody(body)
+        output.flush()
+    }
+
+    /** Writes [body] so that a slow reader does not make the output hold a copy of all of it. */
+    private suspend fun writeBody(body: ByteArray) {
         for (start in body.indices step WRITE_BYTES) {
             output.writeFully(body, start, minOf(start + WRITE_BYTES, body.size))
             output.flush()
         }
-        output.flush()
     }
 
     /**
@@ -192,6 +200,7 @@
             fields = parsed.headers.toFields()
         )
         parsed.release()
+        isHeadRequest = head.method == "HEAD"
         val size =
             head.target.length +
                 head.fields.all.sumOf { it.name.length + it.value.length + FIELD_OVERHEAD_BYTES }
