Let a caller that goes on sending read why it was refused

What callers saw: a caller that was refused before it had sent its whole request got a reset connection (broken pipe) and not the refusal.

Cause: a connection that is closed with unread input is reset, which may discard what was sent before (RFC 9112, section 9.6).

Change: after the refusal of a malformed request the output is ended, and input is discarded for a second or a megabyte at most.

Evidence: EarlyRefusalsTest 'can read the refusal' failed with a broken pipe before and passes now, as does EndlessAnswersTest.

--- a/daemon/src/main/kotlin/io/primroseflow/daemon/http/HttpConnection.kt
+++ b/daemon/src/main/kotlin/io/primroseflow/daemon/http/HttpConnection.kt
@@ -4,6 +4,7 @@
 import io.ktor.http.cio.RequestResponseBuilder
 import io.ktor.utils.io.ByteReadChannel
 import io.ktor.utils.io.ByteWriteChannel
+import io.ktor.utils.io.readAvailable
 import io.ktor.utils.io.writeFully
 import io.ktor.utils.io.writePacket
 import io.primroseflow.daemon.socket.StreamSocket
@@ -11,6 +12,8 @@
 import io.primroseflow.daemon.target.source
 import io.primroseflow.routing.CallerBounds
 import java.io.IOException
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.seconds
 import kotlinx.coroutines.withTimeoutOrNull
 import kotlinx.io.Buffer
 import kotlinx.io.readByteArray
@@ -28,6 +31,12 @@
 /** Bytes of the head of a request besides its target and header fields. */
 private const val HEAD_OVERHEAD_BYTES = 256
 
+/** Time for which input is discarded before a connection is closed. */
+private val LINGER_TIME: Duration = 1.seconds
+
+/** Maximum number of bytes that are discarded before a connection is closed. */
+private const val MAX_DISCARDED_BYTES = 1024 * 1024
+
 private val lineEnd = "\r\n".encodeToByteArray()
 
 private val lastChunk = "0\r\n\r\n".encodeToByteArray()
@@ -173,6 +182,23 @@
         output.flush()
     }
 
+    /**
+     * Ends the output and discards what the peer still sends, within a limit. A close with unread
+     * input resets the connection, which may cost the peer the last response (RFC 9112, 9.6).
+     */
+    suspend fun linger() {
+        socket.endOutput()
+        withTimeoutOrNull(LINGER_TIME) {
+            val buffer = ByteArray(READ_BUFFER_BYTES)
+            var left = MAX_DISCARDED_BYTES
+            while (left > 0) {
+                val count = input.readAvailable(buffer)
+                if (count < 0) break
+                left -= count
+            }
+        }
+    }
+
     /**
      * Closes the connection.
      *
--- a/daemon/src/main/kotlin/io/primroseflow/daemon/http/HttpHeads.kt
+++ b/daemon/src/main/kotlin/io/primroseflow/daemon/http/HttpHeads.kt
@@ -57,7 +57,7 @@
         val byte = readBuffer.readByte()
         head.write(byte.toInt())
         if (byte == LINE_FEED) {
-            val isEmpty = lineLength == 0 || lineLength == 1 && last == CARRIAGE_RETURN
+            val isEmpty = lineLength == 0 || (lineLength == 1 && last == CARRIAGE_RETURN)
             if (isEmpty && hasStarted) break
             if (!isEmpty) hasStarted = true
             lineLength = 0
--- a/daemon/src/main/kotlin/io/primroseflow/daemon/http/HttpListener.kt
+++ b/daemon/src/main/kotlin/io/primroseflow/daemon/http/HttpListener.kt
@@ -149,5 +149,6 @@
             invalid.reason.encodeToByteArray(),
             closeAfter = true
         )
+        connection.linger()
     }
 }
--- a/daemon/src/main/kotlin/io/primroseflow/daemon/socket/StreamSocket.kt
+++ b/daemon/src/main/kotlin/io/primroseflow/daemon/socket/StreamSocket.kt
@@ -56,6 +56,11 @@
     /** Channel of the bytes to send; they are written when it is flushed. */
     val output: ByteWriteChannel = Output()
 
+    /** Tells the peer, after the bytes that were flushed before, that no more follow. */
+    fun endOutput() {
+        channel.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener { channel.shutdownOutput() }
+    }
+
     /**
      * Closes the connection after the bytes that were flushed before have been written, or after
      * a timeout if the peer does not read them.
--- a/daemon/src/test/kotlin/io/primroseflow/daemon/entry/EarlyRefusalsTest.kt
+++ b/daemon/src/test/kotlin/io/primroseflow/daemon/entry/EarlyRefusalsTest.kt
@@ -5,6 +5,9 @@
 import io.kotest.matchers.string.shouldStartWith
 import java.net.Socket
 
+/** Size of what the caller sends after it may have been refused, in bytes. */
+private const val FURTHER_BYTES = 100_000
+
 private val answering = { FakeTarget { request, output -> output.answer(request.id).let { true } } }
 
 private fun Socket.write(text: String) = getOutputStream().write(text.toByteArray())
@@ -20,6 +23,21 @@
 
 class EarlyRefusalsTest :
     DescribeSpec({
+        // The connection was reset before the caller had read why it was refused.
+        describe("a caller that goes on sending after it was refused") {
+            it("can read the refusal") {
+                withHosts(answering()) {
+                    connect().use { socket ->
+                        socket.write("GET /safe/1 HTTP/1.1\r\nX-More: ${"x".repeat(20_000)}\r\n")
+                        socket.read(1) shouldBe "H"
+                        socket.write("X-More: ${"x".repeat(FURTHER_BYTES)}\r\n")
+                        Thread.sleep(100)
+                        socket.read(11) shouldBe "TTP/1.1 431"
+                    }
+                }
+            }
+        }
+
         // MIXED: the body of the refusal came where the next answer was due.
         describe("a refused HEAD request on a kept connection") {
             it("gets no body before the next answer") {
