Put an accepted policy in force although one that uses it fails

Suspected by reading by two lines of work; no trigger in the product is known.

Cause: the users of a policy are told before it is in force, and their failure ended the step.

Change: their failure is logged and costs only themselves, in both ways of starting.

--- a/daemon/src/main/kotlin/io/primroseflow/daemon/control/PolicyInForce.kt
+++ b/daemon/src/main/kotlin/io/primroseflow/daemon/control/PolicyInForce.kt
@@ -4,6 +4,7 @@
 import io.primroseflow.control.AcceptedPolicy
 import io.primroseflow.control.PolicyRevision
 import io.primroseflow.control.PolicySource
+import io.primroseflow.daemon.contain
 import io.primroseflow.policy.CheckedPolicy
 import io.primroseflow.policy.PolicyText
 import io.primroseflow.policy.readPolicy
@@ -69,7 +70,10 @@
     }
 
     private fun put(policy: CheckedPolicy, offered: AcceptedPolicy) {
-        onChange(policy, offered.head.revision)
+        // What fails on the policy must not keep an accepted one from being in force.
+        contain({
+            log.error("a user of the policy has failed", it)
+        }) { onChange(policy, offered.head.revision) }
         checked = policy
         accepted = offered
         log.info("policy revision {} is in force", offered.head.revision)
--- a/daemon/src/main/kotlin/io/primroseflow/daemon/fleet/RoutedPolicyInForce.kt
+++ b/daemon/src/main/kotlin/io/primroseflow/daemon/fleet/RoutedPolicyInForce.kt
@@ -6,6 +6,8 @@
 import io.primroseflow.control.PolicyRevision
 import io.primroseflow.control.PolicySource
 import io.primroseflow.daemon.EventLog
+import io.primroseflow.daemon.contain
+import io.primroseflow.daemon.failureOf
 import io.primroseflow.routing.RouteTable
 import io.primroseflow.routing.RoutedPolicy
 
@@ -56,7 +58,8 @@
 
     private fun put(policy: RoutedPolicy, offered: AcceptedPolicy) {
         val before = revision
-        onChange(policy)
+        // What fails on the policy must not keep an accepted one from being in force.
+        contain(log.failureOf("users of the policy")) { onChange(policy) }
         table = RouteTable(policy)
         accepted = offered
         log.info(
--- a/daemon/src/test/kotlin/io/primroseflow/daemon/control/PolicyInForceTest.kt
+++ b/daemon/src/test/kotlin/io/primroseflow/daemon/control/PolicyInForceTest.kt
@@ -29,12 +29,13 @@
     PolicySource("base.yaml", text)
 )
 
-private class Fixture {
+private class Fixture(private val isFailing: Boolean = false) {
     val changes = ArrayList<Long>()
     private val initial =
         readPolicy(PolicyText("base.yaml", textOf(1))).getOrElse { error("$it") }
     val policy = PolicyInForce(initial, MonotonicClock()) { _, revision ->
         changes += revision.number
+        check(!isFailing) { "failed on purpose" }
     }
 }
 
@@ -58,6 +59,13 @@
                 fixture.changes shouldContainExactly listOf(4)
             }
 
+            // CONFIG: an accepted policy was not in force at a host on which something failed on it.
+            it("is replaced although one that uses it fails") {
+                val fixture = Fixture(isFailing = true)
+                fixture.policy.offer(accepted(2))
+                fixture.policy.revision shouldBe PolicyRevision(2)
+            }
+
             it("stays in force if a later revision cannot be read") {
                 val fixture = Fixture()
                 fixture.policy.offer(accepted(2))
