--- a/core/src/main/kotlin/io/primroseflow/control/CommandChecks.kt
+++ b/core/src/main/kotlin/io/primroseflow/control/CommandChecks.kt
@@ -15,7 +15,7 @@
         "the retention $retentionMillis is out of range"
 
     // The revision after it must exist.
-    this is ControlCommand.RaisePolicy && revision.number !in 1..<Long.MAX_VALUE ->
+    this is ControlCommand.RaisePolicy && revision.number == Long.MAX_VALUE ->
         "the revision $revision is out of range"
 
     else -> null
