Resume a stream only after an event, and time silence without the caller's part

Found in review and by EndlessAnswersTest. A stream whose last event has no id was resumed after an earlier one; a block without data, such as a reconnection time, made a sound resumption fail; an empty sized answer to a resumption ended the request although another target was allowed.

Change: only blocks with data are events; text that is no event stream does not go on with one; the time that a write to the caller took is added to the silence limit instead of starting it anew; a target that begins to forward while a replacement is found is kept; the id of the last event is noted before the write.

Evidence: EventlessBlocksTest (of the review) failed before in three cases; it, EndlessAnswersTest, ResumedStreamsTest, SlowCallersTest and SilentTargetsTest pass.

--- a/daemon/src/main/kotlin/io/primroseflow/daemon/entry/RequestRelay.kt
+++ b/daemon/src/main/kotlin/io/primroseflow/daemon/entry/RequestRelay.kt
@@ -436,8 +436,9 @@
             if (firstAt == null) firstAt = clock.now()
             if (beganAt == null) beganAt = firstAt
             isStreamResumable = isResumable
-            writeToCaller { connection.writeChunk(bytes, 0, length) }
+            // From here on, the events are in the output even if the write is cancelled.
             lastEventId = lastId ?: lastEventId
+            writeToCaller { connection.writeChunk(bytes, 0, length) }
         }
 
         override suspend fun awaitReplacement(): Boolean {
--- a/daemon/src/main/kotlin/io/primroseflow/daemon/target/EventSplitter.kt
+++ b/daemon/src/main/kotlin/io/primroseflow/daemon/target/EventSplitter.kt
@@ -11,10 +11,19 @@
 
 private const val CARRIAGE_RETURN = '\r'.code.toByte()
 
-private const val COLON = ':'.code.toByte()
-
 private val idPrefix = "id:".encodeToByteArray()
 
+private val dataPrefix = "data".encodeToByteArray()
+
+/** Starts of the lines that the format defines. */
+private val linePrefixes = listOf(
+    "data",
+    "id",
+    "event",
+    "retry",
+    ":"
+).map(String::encodeToByteArray)
+
 /**
  * Splits a stream of server-sent events after its last complete event.
  *
@@ -44,9 +53,10 @@
     var lastId: String? = null
         private set
     private var pendingId: String? = null
-    private var pendingFields = 0
+    private var hasPendingData = false
+    private var hasForeignLine = false
 
-    /** Whether there were complete events other than comments, but none with an id. */
+    /** Whether the last complete event with data has no id, so that it can't be resumed after it. */
     var lacksIds: Boolean = false
         private set
 
@@ -92,8 +102,9 @@
             if (lineStart > completeLength) onEvent()
             completeLength = end + 1
         } else {
-            if (bytes[lineStart] != COLON) pendingFields++
-            if (isIdLine(contentEnd)) {
+            if (lineStartsWith(dataPrefix, contentEnd)) hasPendingData = true
+            if (linePrefixes.none { lineStartsWith(it, contentEnd) }) hasForeignLine = true
+            if (lineStartsWith(idPrefix, contentEnd)) {
                 val from = lineStart + idPrefix.size
                 pendingId = bytes.decodeToString(from, contentEnd).trim()
             }
@@ -103,15 +114,20 @@
 
     private fun onEvent() {
         eventCount++
-        if (pendingFields > 0 && lastId == null) onFirstEvents(pendingId)
+        // Text that is no event stream must not go on with one.
+        if (hasForeignLine && resumesAfter != null && lastId == null) {
+            throw IOException("the stream is resumed by something else than events")
+        }
+        if (hasPendingData) onData(pendingId)
         lastId = pendingId ?: lastId
         pendingId = null
-        pendingFields = 0
+        hasPendingData = false
     }
 
-    /** Handles an event with [id] before which there was none with an id. */
-    private fun onFirstEvents(id: String?) {
-        if (resumesAfter != null && (id == null || !isAfter(id, resumesAfter))) {
+    /** Handles an event with data and [id]; blocks without data are no events to a reader. */
+    private fun onData(id: String?) {
+        val isFirst = lastId == null
+        if (isFirst && resumesAfter != null && (id == null || !isAfter(id, resumesAfter))) {
             throw IOException("the stream does not go on after the event $resumesAfter")
         }
         lacksIds = id == null
@@ -124,8 +140,8 @@
         return if (number != null && otherNumber != null) number > otherNumber else id != other
     }
 
-    private fun isIdLine(contentEnd: Int): Boolean {
-        if (contentEnd - lineStart < idPrefix.size) return false
-        return idPrefix.indices.all { bytes[lineStart + it] == idPrefix[it] }
+    private fun lineStartsWith(prefix: ByteArray, contentEnd: Int): Boolean {
+        if (contentEnd - lineStart < prefix.size) return false
+        return prefix.indices.all { bytes[lineStart + it] == prefix[it] }
     }
 }
--- a/daemon/src/main/kotlin/io/primroseflow/daemon/target/TargetExchanges.kt
+++ b/daemon/src/main/kotlin/io/primroseflow/daemon/target/TargetExchanges.kt
@@ -243,13 +243,19 @@
         /** Returns how long the target has been silent once the exchange is to be given up. */
         private suspend fun awaitSilence(): Duration {
             while (true) {
-                if (isForwarding) quietSince = time.markNow()
+                if (isForwarding) {
+                    delay(PROGRESS_POLL_INTERVAL)
+                    continue
+                }
                 val left = silenceLimit - quietSince.elapsedNow()
                 if (left > Duration.ZERO) {
                     delay(left)
                     continue
                 }
-                if (!dispatch.isReplaceable || isReplacementFound()) return silenceLimit
+                if (!dispatch.isReplaceable) return silenceLimit
+                if (!isReplacementFound()) continue
+                if (!isForwarding) return silenceLimit
+                listener.onReplacementUnused()
             }
         }
 
@@ -298,7 +304,8 @@
                     "successful answer is unsigned or lacks the request id"
                 )
             }
-            if (isSuccess && dispatch.isStream && framing != BodyFraming.Sized(0)) {
+            val isEmpty = framing == BodyFraming.Sized(0)
+            if (isSuccess && dispatch.isStream && (!isEmpty || dispatch.resumed != null)) {
                 if (dispatch.resumed?.accepts(head) == false) {
                     return ExchangeResult.Failed("a stream was resumed with another media type")
                 }
@@ -368,6 +375,7 @@
                     onProgress(dispatch.gapTimeout)
                 }
                 if (splitter.completeLength == 0) continue
+                val forwardedFrom = time.markNow()
                 isForwarding = true
                 if (!hasStarted) listener.onStream(head)
                 hasStarted = true
@@ -378,7 +386,7 @@
                     isResumable = !splitter.lacksIds
                 )
                 isForwarding = false
-                quietSince = time.markNow()
+                quietSince += forwardedFrom.elapsedNow()
                 splitter.dropComplete()
             }
             if (splitter.hasPartialEvent) {
