Check the depth of events before they are assembled, and contain foreign cancellations

An event of an engine nested 100,000 deep overflowed the stack when a completion that is not streamed was assembled (NestedEventsTest failed before: StackOverflowError at 512 KiB). The end of a control replica and of a connection between hosts by a foreign cancellation went unnoticed; no trigger is known.

--- a/daemon/src/main/kotlin/io/primroseflow/daemon/HostProcesses.kt
+++ b/daemon/src/main/kotlin/io/primroseflow/daemon/HostProcesses.kt
@@ -14,6 +14,7 @@
 import io.primroseflow.daemon.operator.metricsListener
 import io.primroseflow.daemon.socket.EventLoop
 import io.primroseflow.daemon.storage.DiskFolder
+import io.primroseflow.daemon.storage.StorageError
 import io.primroseflow.daemon.target.TargetConnectionPool
 import io.primroseflow.fleet.QuotaTolerance
 import io.primroseflow.limits.RetryLimits
@@ -186,7 +187,8 @@
                 .listen(settings.address, port)
         }
         context.scope.launch {
-            val error = contain(context.log.failureOf("control host")) { host.run() }
+            var error: StorageError? = null
+            containStep(context.log.failureOf("control host")) { error = host.run() }
             context.log.warn("storage_unusable", "cause" to (error ?: "the replica has failed"))
             context.endProcess("the control replica has ended")
         }
--- a/daemon/src/main/kotlin/io/primroseflow/daemon/caller/CompletionAssembly.kt
+++ b/daemon/src/main/kotlin/io/primroseflow/daemon/caller/CompletionAssembly.kt
@@ -49,7 +49,11 @@
 }
 
 private fun parseChunkOrNull(event: AnswerPart.Event): JsonObject? = try {
-    Json.parseToJsonElement(event.data.decodeToString()) as? JsonObject
+    if (exceedsMaxNesting(event.data)) {
+        null
+    } else {
+        Json.parseToJsonElement(event.data.decodeToString()) as? JsonObject
+    }
 } catch (_: SerializationException) {
     null
 }
--- a/daemon/src/main/kotlin/io/primroseflow/daemon/caller/CompletionBody.kt
+++ b/daemon/src/main/kotlin/io/primroseflow/daemon/caller/CompletionBody.kt
@@ -125,7 +125,7 @@
  *
  * Brackets inside strings are counted as well.
  */
-private fun exceedsMaxNesting(bytes: ByteArray): Boolean {
+internal fun exceedsMaxNesting(bytes: ByteArray): Boolean {
     var depth = 0
     for (byte in bytes) {
         when (byte.toInt().toChar()) {
--- a/daemon/src/main/kotlin/io/primroseflow/daemon/control/ControlPlane.kt
+++ b/daemon/src/main/kotlin/io/primroseflow/daemon/control/ControlPlane.kt
@@ -5,7 +5,7 @@
 import io.primroseflow.control.AcceptedPolicy
 import io.primroseflow.control.PolicyRevision
 import io.primroseflow.daemon.DaemonSettings
-import io.primroseflow.daemon.contain
+import io.primroseflow.daemon.containStep
 import io.primroseflow.daemon.launchLasting
 import io.primroseflow.daemon.peer.CallId
 import io.primroseflow.daemon.peer.ControlQuery
@@ -133,7 +133,7 @@
     }
 
     private suspend fun runReplica(task: ReplicaTask) {
-        contain({ log.error("the control replica has failed", it) }) { task.run() }
+        containStep({ log.error("the control replica has failed", it) }) { task.run() }
         onReplicaEnded()
     }
 
--- a/daemon/src/main/kotlin/io/primroseflow/daemon/peer/PeerLinks.kt
+++ b/daemon/src/main/kotlin/io/primroseflow/daemon/peer/PeerLinks.kt
@@ -4,6 +4,7 @@
 import io.ktor.utils.io.ByteWriteChannel
 import io.primroseflow.daemon.PeerAddress
 import io.primroseflow.daemon.contain
+import io.primroseflow.daemon.containStep
 import io.primroseflow.daemon.socket.EventLoop
 import io.primroseflow.daemon.socket.ListeningSocket
 import io.primroseflow.daemon.socket.StreamSocket
@@ -115,7 +116,7 @@
     suspend fun listen(address: String, port: Int): Int {
         val bound = loop.listen(address, port, ACCEPT_BACKLOG) { socket ->
             scope.launch(loop.dispatcher) {
-                contain({ log.error("an incoming connection failed", it) }) { serve(socket) }
+                containStep({ log.error("an incoming connection failed", it) }) { serve(socket) }
             }
         }
         listening = bound
@@ -153,7 +154,7 @@
                 link.discardAll()
                 continue
             }
-            contain({ log.error("the connection to {} failed", to, it) }) {
+            containStep({ log.error("the connection to {} failed", to, it) }) {
                 runConnection(to, address, link)
             }
             traffic.redials.incrementAndGet()
