Append to no log that a restart ignores

What operators would see: after the disk of a control replica had been full for a moment, votes and acknowledged configurations were gone once the host had started again.

Cause: ReplicaStorage.replace made the new log the newest one by its rename. If a later call failed (sync of the folder, opening, truncating or syncing the new file), records went on to the old log and were confirmed, while a restart uses the newest. A log whose name had never been made durable was appended to after a restart of the process, too, and a failed append could leave bytes that the next one did not remove.

Change: the file is written, synced, renamed and stays open, so nothing can fail between the rename and its use but the sync of the folder. After a failed replacement the newer log is deleted durably before anything is appended. Opening a log makes its name durable. The disk is an interface now, each call of which can fail.

Evidence: FailingDiskCallsTest lets each call fail in turn (one, two, five in a row, three of each kind, and at random; leaving nothing, a part or the whole effect), goes on writing, and checks what a loss of power or a restart leaves. ReplicaStorageTest used a folder that could not fail in open; it uses the failing disk now, with every call instead of the writes only.

--- a/daemon/src/main/kotlin/io/primroseflow/daemon/storage/DataFolder.kt
+++ b/daemon/src/main/kotlin/io/primroseflow/daemon/storage/DataFolder.kt
@@ -1,13 +1,11 @@
 package io.primroseflow.daemon.storage
 
 import java.io.IOException
-import java.nio.ByteBuffer
 import java.nio.channels.FileChannel
 import java.nio.channels.FileLock
 import java.nio.channels.OverlappingFileLockException
 import java.nio.file.Files
 import java.nio.file.Path
-import java.nio.file.StandardCopyOption
 import java.nio.file.StandardOpenOption
 import kotlin.io.path.createDirectories
 import kotlin.io.path.listDirectoryEntries
@@ -18,8 +16,8 @@
     /**
      * Appends [bytes] and makes them durable.
      *
-     * @throws IOException if the bytes could not be made durable; the file then has its previous
-     *   content
+     * @throws IOException if the bytes could not be made durable; the next call replaces whatever
+     *   was written of them, but a restart before it may find them
      */
     fun append(bytes: ByteArray)
 }
@@ -37,13 +35,19 @@
      *
      * The write is atomic and durable: after a crash the file has either its previous state or the
      * complete new content.
+     *
+     * @throws IOException if that fails; the file then has either of them too, and which one it has
+     *   may change with a crash until a later write or deletion of the file succeeds
      */
-    fun write(name: String, bytes: ByteArray)
+    fun write(name: String, bytes: ByteArray) = create(name, bytes).close()
+
+    /** Writes [bytes] like [write] and returns the file, opened for appending to them. */
+    fun create(name: String, bytes: ByteArray): AppendOnlyFile
 
-    /** Opens the file [name] for appending, truncated to [size] bytes. */
+    /** Opens the existing file [name] for appending, truncated to [size] bytes. */
     fun open(name: String, size: Long): AppendOnlyFile
 
-    /** Deletes the file [name]. */
+    /** Deletes the file [name] durably, if it exists. */
     fun delete(name: String)
 }
 
@@ -60,7 +64,8 @@
  *
  * @throws FolderLockedException if another process has locked the folder
  */
-internal class DiskFolder(private val path: Path) : DataFolder {
+internal class DiskFolder(private val path: Path, private val disk: Disk = SystemDisk) :
+    DataFolder {
     private val lockFile: FileChannel
     private val lock: FileLock
 
@@ -71,40 +76,42 @@
             StandardOpenOption.CREATE,
             StandardOpenOption.WRITE
         )
-        lock = tryLock() ?: throw FolderLockedException(path)
-        path.listDirectoryEntries("*$TEMPORARY_SUFFIX").forEach(Files::delete)
+        lock = lockOrNull() ?: throw FolderLockedException(path)
+        path.listDirectoryEntries("*$TEMPORARY_SUFFIX").forEach(::deleteIfPossible)
     }
 
-    override fun names(): List<String> =
-        path.listDirectoryEntries().map { it.name }.filter { it != LOCK_FILE }
+    override fun names(): List<String> = path.listDirectoryEntries().map { it.name }
+        .filter { it != LOCK_FILE && !it.endsWith(TEMPORARY_SUFFIX) }
 
     override fun read(name: String): ByteArray = Files.readAllBytes(path.resolve(name))
 
-    override fun write(name: String, bytes: ByteArray) {
+    override fun create(name: String, bytes: ByteArray): AppendOnlyFile {
         val temporary = path.resolve(name + TEMPORARY_SUFFIX)
-        FileChannel.open(
-            temporary,
-            StandardOpenOption.CREATE,
-            StandardOpenOption.TRUNCATE_EXISTING,
-            StandardOpenOption.WRITE
-        ).use { file ->
-            file.writeFully(bytes)
-            file.force(true)
+        try {
+            return disk.create(temporary).closedOnFailure { file ->
+                file.write(bytes, position = 0)
+                file.sync()
+                disk.rename(temporary, path.resolve(name))
+                disk.syncFolder(path)
+                DiskAppendOnlyFile(file, bytes.size.toLong())
+            }
+        } catch (e: IOException) {
+            throw e
         }
-        Files.move(temporary, path.resolve(name), StandardCopyOption.ATOMIC_MOVE)
-        syncFolder()
     }
 
-    override fun open(name: String, size: Long): AppendOnlyFile {
-        val file = FileChannel.open(path.resolve(name), StandardOpenOption.WRITE)
-        file.truncate(size)
-        file.force(true)
-        file.position(size)
-        return DiskAppendOnlyFile(file)
-    }
+    override fun open(name: String, size: Long): AppendOnlyFile =
+        disk.open(path.resolve(name)).closedOnFailure { file ->
+            file.truncate(size)
+            file.sync()
+            // A process that ended may have created the file without making its name durable.
+            disk.syncFolder(path)
+            DiskAppendOnlyFile(file, size)
+        }
 
     override fun delete(name: String) {
-        Files.deleteIfExists(path.resolve(name))
+        disk.delete(path.resolve(name))
+        disk.syncFolder(path)
     }
 
     override fun close() {
@@ -112,38 +119,60 @@
         lockFile.close()
     }
 
-    private fun tryLock(): FileLock? = try {
+    private fun lockOrNull(): FileLock? = try {
         lockFile.tryLock()
     } catch (_: OverlappingFileLockException) {
         null
     }
 
-    private fun syncFolder() {
-        FileChannel.open(path, StandardOpenOption.READ).use { it.force(true) }
+    private fun deleteIfPossible(file: Path) {
+        try {
+            disk.delete(file)
+        } catch (_: IOException) {
+            // The next start deletes it.
+        }
     }
 }
 
-private class DiskAppendOnlyFile(private val file: FileChannel) : AppendOnlyFile {
-    private var durableSize = file.position()
+private class DiskAppendOnlyFile(private val file: DiskFile, private var durableSize: Long) :
+    AppendOnlyFile {
+    /** Whether bytes of a failed call may follow the durable ones. */
+    private var hasRemains = false
 
     override fun append(bytes: ByteArray) {
+        removeRemains()
+        hasRemains = true
         try {
-            file.position(durableSize)
-            file.writeFully(bytes)
-            file.force(false)
-            durableSize += bytes.size
+            file.write(bytes, durableSize)
+            file.sync()
         } catch (e: IOException) {
-            file.truncate(durableSize)
+            try {
+                removeRemains()
+            } catch (suppressed: IOException) {
+                e.addSuppressed(suppressed)
+            }
             throw e
         }
+        durableSize += bytes.size
+        hasRemains = false
     }
 
-    override fun close() {
-        file.close()
+    private fun removeRemains() {
+        if (!hasRemains) return
+        file.truncate(durableSize)
+        hasRemains = false
     }
+
+    override fun close() = file.close()
 }
 
-private fun FileChannel.writeFully(bytes: ByteArray) {
-    val buffer = ByteBuffer.wrap(bytes)
-    while (buffer.hasRemaining()) write(buffer)
+private inline fun <T> DiskFile.closedOnFailure(use: (DiskFile) -> T): T = try {
+    use(this)
+} catch (e: IOException) {
+    try {
+        close()
+    } catch (suppressed: IOException) {
+        e.addSuppressed(suppressed)
+    }
+    throw e
 }
--- a/daemon/src/main/kotlin/io/primroseflow/daemon/storage/ReplicaStorage.kt
+++ b/daemon/src/main/kotlin/io/primroseflow/daemon/storage/ReplicaStorage.kt
@@ -93,6 +93,13 @@
     private var log: AppendOnlyFile
 ) : AutoCloseable {
     private var hardState = restored.hardState
+    private var snapshotIndex = restored.snapshot?.metadata?.index
+
+    /**
+     * Whether a failed replacement may have left a newer log. A restart would use that one, so
+     * nothing may be appended to [log] before it is deleted.
+     */
+    private var mayHaveNewerLog = false
 
     /** Whether the folder held no state when it was opened. */
     val isNew: Boolean = restored.snapshot == null && restored.entries.isEmpty() && !hadHardState
@@ -104,10 +111,11 @@
     /**
      * Makes [hardState] and [entries] durable.
      *
-     * @throws IOException if that fails; nothing is stored then, and the call may be repeated
+     * @throws IOException if that fails; the call may be repeated
      */
     fun append(hardState: HardState?, entries: List<LogEntry>) {
         if (hardState == null && entries.isEmpty()) return
+        abandonReplacement()
         val frame = encodeRecord(LogRecord(hardState, entries))
         log.append(frame)
         logBytes += frame.size
@@ -124,19 +132,25 @@
      */
     fun replace(snapshot: Snapshot, hardState: HardState?, entries: List<LogEntry>) {
         val kept = hardState ?: this.hardState
+        val index = snapshot.metadata.index
         val snapshotBytes = storageCbor.encodeToByteArray(Snapshot.serializer(), snapshot)
-        folder.write(snapshotName(snapshot.metadata.index), encodeFrame(snapshotBytes))
-        val first = LogRecord(kept, entries, snapshot.metadata.index)
-        val frame = encodeRecord(first)
-        val name = logName(sequence + 1)
-        folder.write(name, frame)
-        val opened = folder.open(name, frame.size.toLong())
-        log.close()
-        log = opened
+        val frame = encodeRecord(LogRecord(kept, entries, index))
+        val created = try {
+            folder.write(snapshotName(index), encodeFrame(snapshotBytes))
+            mayHaveNewerLog = true
+            folder.create(logName(sequence + 1), frame)
+        } catch (e: IOException) {
+            ifPossible(::abandonReplacement)
+            throw e
+        }
+        ifPossible(log::close)
+        log = created
         sequence++
+        mayHaveNewerLog = false
+        snapshotIndex = index
         logBytes = frame.size.toLong()
         this.hardState = kept
-        deleteObsolete(snapshot.metadata.index)
+        ifPossible(::deleteObsolete)
     }
 
     /** Closes the log file but not the folder, which may be opened again. */
@@ -149,11 +163,28 @@
         folder.close()
     }
 
-    private fun deleteObsolete(index: LogIndex) {
-        val kept = setOf(FORMAT_FILE, logName(sequence), snapshotName(index))
+    private fun abandonReplacement() {
+        if (!mayHaveNewerLog) return
+        folder.delete(logName(sequence + 1))
+        mayHaveNewerLog = false
+    }
+
+    /** Deletes the files that a restart would not use. */
+    private fun deleteObsolete() {
+        if (mayHaveNewerLog) return
+        val kept = setOfNotNull(logName(sequence), snapshotIndex?.let { snapshotName(it) })
         folder.names().filter { it !in kept && isLogOrSnapshot(it) }.forEach(folder::delete)
     }
 
+    /** Runs [step], which is repeated later if it fails. */
+    private inline fun ifPossible(step: () -> Unit) {
+        try {
+            step()
+        } catch (_: IOException) {
+            // The caller reports the failures that matter to it.
+        }
+    }
+
     companion object {
         /** Opens the state stored in [folder], or creates an empty one if there is none. */
         fun open(folder: DataFolder): Result<ReplicaStorage, StorageError> = try {
@@ -174,9 +205,8 @@
 
         private fun create(folder: DataFolder): Result<ReplicaStorage, StorageError> {
             val frame = encodeRecord(LogRecord())
-            folder.write(logName(1), frame)
+            val log = folder.create(logName(1), frame)
             folder.write(FORMAT_FILE, FORMAT.encodeToByteArray())
-            val log = folder.open(logName(1), frame.size.toLong())
             return Ok(ReplicaStorage(folder, RestoredState(), false, sequence = 1, log))
         }
 
@@ -203,7 +233,9 @@
             )
             val log = folder.open(name, valid.end.toLong())
             val sequence = name.removePrefix(LOG_PREFIX).toLong()
-            return Ok(ReplicaStorage(folder, restored, hardState != null, sequence, log))
+            val storage = ReplicaStorage(folder, restored, hardState != null, sequence, log)
+            storage.ifPossible(storage::deleteObsolete)
+            return Ok(storage)
         }
 
         private fun readSnapshot(
--- a/daemon/src/test/kotlin/io/primroseflow/daemon/storage/ReplicaStorageTest.kt
+++ b/daemon/src/test/kotlin/io/primroseflow/daemon/storage/ReplicaStorageTest.kt
@@ -44,39 +44,6 @@
 private fun logFile(path: Path): Path =
     path.toFile().listFiles().orEmpty().single { it.name.startsWith("log-") }.toPath()
 
-/**
- * A folder that fails write operations on demand.
- *
- * @property failsAfter number of write operations that succeed before all others fail
- */
-private class FailingFolder(private val inner: DataFolder) : DataFolder by inner {
-    var failsAfter = Int.MAX_VALUE
-
-    override fun write(name: String, bytes: ByteArray) {
-        failIfDue()
-        inner.write(name, bytes)
-    }
-
-    override fun open(name: String, size: Long): AppendOnlyFile {
-        val file = inner.open(name, size)
-        return object : AppendOnlyFile by file {
-            override fun append(bytes: ByteArray) {
-                failIfDue()
-                file.append(bytes)
-            }
-        }
-    }
-
-    override fun delete(name: String) {
-        failIfDue()
-        inner.delete(name)
-    }
-
-    private fun failIfDue() {
-        if (failsAfter-- <= 0) throw IOException("No space left on device")
-    }
-}
-
 class ReplicaStorageTest :
     DescribeSpec({
         describe("a data folder") {
@@ -176,15 +143,17 @@
                 error.shouldBeInstanceOf<StorageError.Corrupt>().file shouldBe file.name
             }
 
-            it("is stored atomically with its entries, whichever step fails") {
-                for (step in 0..6) {
+            it("is stored atomically with its entries, whichever call of the disk fails") {
+                for (step in 0..20) {
                     val path = temporaryFolder()
-                    val folder = FailingFolder(DiskFolder(path))
-                    val storage = ReplicaStorage.open(folder).getOrElse { error("$it") }
+                    val disk = FaultyDisk()
+                    val storage =
+                        ReplicaStorage.open(DiskFolder(path, disk)).getOrElse { error("$it") }
                     storage.append(HardState(Term(1)), listOf(entry(1), entry(2), entry(3)))
-                    folder.failsAfter = step
+                    val failing = disk.callCount + step
+                    disk.fails = { it.number >= failing }
                     runCatching { storage.replace(snapshotAt(2), null, listOf(entry(3))) }
-                    folder.failsAfter = Int.MAX_VALUE
+                    disk.fails = { false }
                     storage.close()
                     val restored = restoredFrom(path)
                     val base = restored.snapshot?.metadata?.index ?: LogIndex.ZERO
@@ -197,12 +166,12 @@
         describe("a full disk") {
             it("fails the write, keeps the stored state and accepts a later write") {
                 val path = temporaryFolder()
-                val folder = FailingFolder(DiskFolder(path))
-                val storage = ReplicaStorage.open(folder).getOrElse { error("$it") }
+                val disk = FaultyDisk()
+                val storage = ReplicaStorage.open(DiskFolder(path, disk)).getOrElse { error("$it") }
                 storage.append(HardState(Term(1)), listOf(entry(1)))
-                folder.failsAfter = 0
+                disk.fails = { it.kind.needsRoom }
                 shouldThrow<IOException> { storage.append(null, listOf(entry(2))) }
-                folder.failsAfter = Int.MAX_VALUE
+                disk.fails = { false }
                 storage.append(null, listOf(entry(2)))
                 storage.close()
                 restoredFrom(path).entries shouldContainExactly listOf(entry(1), entry(2))
