Remove what failed writes leave on a full disk

Each attempt at another index left one more, so a replica could fill its own disk.

Change: both are deleted at once, as far as the disk allows it, and at the next start or replacement otherwise.

--- a/daemon/src/main/kotlin/io/primroseflow/daemon/storage/DataFolder.kt
+++ b/daemon/src/main/kotlin/io/primroseflow/daemon/storage/DataFolder.kt
@@ -96,6 +96,8 @@
                 DiskAppendOnlyFile(file, bytes.size.toLong())
             }
         } catch (e: IOException) {
+            // An incomplete file would take the room that the next attempt needs.
+            deleteIfPossible(temporary)
             throw e
         }
     }
--- a/daemon/src/main/kotlin/io/primroseflow/daemon/storage/ReplicaStorage.kt
+++ b/daemon/src/main/kotlin/io/primroseflow/daemon/storage/ReplicaStorage.kt
@@ -141,6 +141,7 @@
             folder.create(logName(sequence + 1), frame)
         } catch (e: IOException) {
             ifPossible(::abandonReplacement)
+            ifPossible(::deleteObsolete)
             throw e
         }
         ifPossible(log::close)
--- a/daemon/src/test/kotlin/io/primroseflow/daemon/storage/FailingDiskCallsTest.kt
+++ b/daemon/src/test/kotlin/io/primroseflow/daemon/storage/FailingDiskCallsTest.kt
@@ -236,4 +236,31 @@
                 }
             }
         }
+
+        // Each failed attempt left a file, until the replica itself filled its disk.
+        describe("a full disk") {
+            it("is not filled by what failed attempts leave") {
+                val path = Files.createTempDirectory("storage")
+                val disk = FaultyDisk()
+                DiskFolder(path, disk).use { folder ->
+                    val storage = ReplicaStorage.open(folder).unwrap()
+                    storage.append(HardState(Term(1)), (1L..9L).map { entry(it, 1) })
+                    val before = path.toFile().list().orEmpty().toSet()
+                    disk.failedEffect = FailedEffect.Part
+                    for (kind in listOf(DiskCall.Write, DiskCall.Sync, DiskCall.SyncFolder)) {
+                        for (index in 1L..9L) {
+                            val isLogCreated = index % 2 == 0L
+                            var seen = 0
+                            disk.fails = { it.kind == kind && (!isLogCreated || seen++ == 1) }
+                            runCatching { storage.replace(snapshotAt(index), null, emptyList()) }
+                            disk.fails = { false }
+                            storage.append(null, listOf(entry(10, 1)))
+                            path.toFile().list().orEmpty().toSet() shouldBe before
+                        }
+                    }
+                    storage.closeLog()
+                }
+                path.toFile().deleteRecursively()
+            }
+        }
     })
