Let another replica lead while this one cannot write

What callers would see: two schedulers granted slots side by side while the disk of the leading control host was full or did not answer, and orders sent to it waited for the write.

Cause: a replica that retried a write neither handled time nor published its status, so it counted as leader until the write succeeded. A write that took long did the same, and left queries unanswered.

Change: after a failed write, or one that takes longer than the election timeout, the leader steps down if another voter could lead, publishes that, and rejects queries at short intervals until the write is done.

--- a/core/src/main/kotlin/io/primroseflow/consensus/Replica.kt
+++ b/core/src/main/kotlin/io/primroseflow/consensus/Replica.kt
@@ -188,6 +188,14 @@
         leaderRole?.transferLeadership(now)
     }
 
+    /**
+     * Gives up leadership, if this replica leads and another one could. The driver calls this when
+     * it cannot carry out effects.
+     */
+    public fun stepDown(now: Instant) {
+        if (leaderRole != null && membership.voters.any { it != id }) becomeFollower(term, now)
+    }
+
     /**
      * Compacts the log with [snapshot], which the driver took of the applied state.
      *
--- a/daemon/src/main/kotlin/io/primroseflow/daemon/control/ReplicaTask.kt
+++ b/daemon/src/main/kotlin/io/primroseflow/daemon/control/ReplicaTask.kt
@@ -44,9 +44,11 @@
 import kotlin.time.Duration.Companion.seconds
 import kotlin.time.Instant
 import kotlinx.coroutines.Dispatchers
+import kotlinx.coroutines.async
 import kotlinx.coroutines.channels.Channel
+import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.delay
-import kotlinx.coroutines.withContext
+import kotlinx.coroutines.launch
 import kotlinx.coroutines.withTimeoutOrNull
 import org.apache.logging.log4j.LogManager
 
@@ -71,8 +73,14 @@
 /** Maximum time between two ticks of the replica. */
 private val TICK_INTERVAL: Duration = 50.milliseconds
 
-/** Delay before a failed write is retried. */
-private val DISK_RETRY_DELAY: Duration = 500.milliseconds
+/** Delay before a failed call of the disk is retried. */
+internal val DISK_RETRY_DELAY: Duration = 500.milliseconds
+
+/** Time after which a write in progress counts as stalled; followers elect another leader then. */
+private val DISK_STALL_TIME: Duration = ReplicaSettings().electionTimeout
+
+/** Interval at which queries are rejected while nothing can be written. */
+private val REJECTION_INTERVAL: Duration = 50.milliseconds
 
 /** Interval at which a replica with an empty data folder asks the others for their history. */
 private val HISTORY_QUERY_INTERVAL: Duration = 200.milliseconds
@@ -102,7 +110,7 @@
  * The status of a control replica.
  *
  * @property claims number of claims in the control state
- * @property isDiskFailing whether the last write to the data folder failed
+ * @property isDiskFailing whether the last write to the log or the last snapshot failed
  * @property skippedEntries committed entries since the start that could not be applied
  */
 internal data class ReplicaStatus(
@@ -172,7 +180,8 @@
     private var state = restoredState()
     private var appliedIndex = storage.restored.snapshot?.metadata?.index ?: LogIndex.ZERO
     private var lastReadNumber = 0L
-    private var isDiskFailing = false
+    private var isLogFailing = false
+    private var isSnapshotFailing = false
     private var isDiskLost = false
     private var skippedEntries = 0L
     private var loggedRole = replica.role
@@ -264,7 +273,7 @@
         }
         // The others must learn that this replica has no history before it can have any.
         delay(START_DELAY)
-        withContext(Dispatchers.IO) { storage.append(HardState(), emptyList()) }
+        writeUntilDone { storage.append(HardState(), emptyList()) }
         isWaitingToJoin = false
         return true
     }
@@ -403,27 +412,67 @@
         }
     }
 
-    /**
-     * Writes [effects] to the disk and retries until that succeeds. Messages that arrive in the
-     * meantime are discarded, and queries are rejected.
-     */
+    /** Writes [effects] to the disk. */
     private suspend fun persist(effects: Effects) {
         if (effects.hardState == null && effects.snapshot == null &&
             effects.entries.isEmpty()
         ) {
             return
         }
+        writeUntilDone { write(effects) }
+    }
+
+    /** Runs [write] until it succeeds. */
+    private suspend fun writeUntilDone(write: () -> Unit) {
         while (true) {
+            val failure = writeOnce(write)
+            reportLogFailure(failure)
+            if (failure == null) return
+            standAside()
+            rejectDuring { delay(DISK_RETRY_DELAY) }
+        }
+    }
+
+    /**
+     * Runs [write] once. If it takes long, another replica may lead in the meantime.
+     *
+     * @return the failure of [write], or `null` if it has succeeded
+     */
+    private suspend fun writeOnce(write: () -> Unit): IOException? = coroutineScope {
+        val attempt = async(Dispatchers.IO) {
             try {
-                withContext(Dispatchers.IO) { write(effects) }
-                updateDiskState(isFailing = false, cause = null)
-                return
+                write()
+                null
             } catch (e: IOException) {
-                updateDiskState(isFailing = true, e)
-                delay(DISK_RETRY_DELAY)
+                e
+            }
+        }
+        withTimeoutOrNull(DISK_STALL_TIME) { attempt.join() }
+        if (attempt.isActive) {
+            log.warn("a write to the data folder has taken {}", DISK_STALL_TIME)
+            standAside()
+            rejectDuring { attempt.join() }
+        }
+        attempt.await()
+    }
+
+    /** Lets another replica lead, if there is one, as this one cannot write. */
+    private fun standAside() {
+        replica.stepDown(clock.now())
+        updateStatus()
+    }
+
+    /** Discards messages and rejects queries while [wait] runs, as this replica cannot write. */
+    private suspend fun rejectDuring(wait: suspend () -> Unit) = coroutineScope {
+        val rejection = launch {
+            while (true) {
                 discardMailbox()
+                delay(REJECTION_INTERVAL)
             }
         }
+        wait()
+        rejection.cancel()
+        discardMailbox()
     }
 
     private fun write(effects: Effects) {
@@ -442,15 +491,12 @@
         }
     }
 
-    private fun updateDiskState(isFailing: Boolean, cause: IOException?) {
-        if (isFailing == isDiskFailing) return
-        isDiskFailing = isFailing
+    private fun reportLogFailure(failure: IOException?) {
+        if (isLogFailing == (failure != null)) return
+        isLogFailing = failure != null
         updateStatus()
-        if (isFailing) {
-            log.error(
-                "write to the data folder failed: {}",
-                cause?.toString()
-            )
+        if (failure != null) {
+            log.error("write to the data folder failed: {}", failure.toString())
         } else {
             log.info("writes to the data folder succeed again")
         }
@@ -530,11 +576,14 @@
         if (storage.logBytes < SNAPSHOT_LOG_BYTES) return
         val snapshot = Snapshot(replica.snapshotMetadata(), state.toSnapshot())
         val rest = replica.compact(snapshot)
-        try {
-            withContext(Dispatchers.IO) { storage.replace(snapshot, null, rest) }
-        } catch (e: IOException) {
-            updateDiskState(isFailing = true, e)
-        }
+        val failure = writeOnce { storage.replace(snapshot, null, rest) }
+        isSnapshotFailing = failure != null
+        if (failure == null) return
+        log.error(
+            "the log of {} bytes could not be replaced by a snapshot: {}",
+            storage.logBytes,
+            failure.toString()
+        )
     }
 
     private fun updateStatus() {
@@ -551,7 +600,7 @@
         commitIndex = replica.commitIndex,
         membership = replica.membership,
         claims = state.status().claims,
-        isDiskFailing = isDiskFailing,
+        isDiskFailing = isLogFailing || isSnapshotFailing,
         skippedEntries = skippedEntries
     )
 
--- a/daemon/src/test/kotlin/io/primroseflow/daemon/control/ReplicaGroupFixture.kt
+++ b/daemon/src/test/kotlin/io/primroseflow/daemon/control/ReplicaGroupFixture.kt
@@ -19,11 +19,14 @@
 import io.primroseflow.daemon.peer.PeerFrame
 import io.primroseflow.daemon.peer.PeerMessage
 import io.primroseflow.daemon.peer.encodeFrame
+import io.primroseflow.daemon.storage.Disk
 import io.primroseflow.daemon.storage.DiskFolder
 import io.primroseflow.daemon.storage.ReplicaStorage
+import io.primroseflow.daemon.storage.SystemDisk
 import io.primroseflow.model.HostId
 import io.primroseflow.timeline.HybridTime
 import java.nio.file.Files
+import java.nio.file.Path
 import kotlin.random.Random
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
@@ -52,7 +55,8 @@
 internal class ReplicaGroup(
     hosts: List<HostId> = groupHosts,
     private val history: (HostId) -> History = { History() },
-    private val onPolicy: (HostId, AcceptedPolicy) -> Unit = { _, _ -> }
+    private val onPolicy: (HostId, AcceptedPolicy) -> Unit = { _, _ -> },
+    private val disk: (HostId) -> Disk = { SystemDisk }
 ) {
     /** What the disk of a replica holds at the start. */
     class History(
@@ -62,11 +66,15 @@
     )
 
     private val folder = Files.createTempDirectory("group")
+
+    /** Returns the data folder of [host]. */
+    fun folderOf(host: HostId): Path = folder.resolve(host.value)
+
     private val membership = Membership(hosts.toSet())
     private val storages = hosts.associateWith { host ->
         val path = Files.createDirectory(folder.resolve(host.value))
-        ReplicaStorage.open(DiskFolder(path)).unwrap().use { it.store(history(host)) }
-        ReplicaStorage.open(DiskFolder(path)).unwrap()
+        ReplicaStorage.open(DiskFolder(path, disk(host))).unwrap().use { it.store(history(host)) }
+        ReplicaStorage.open(DiskFolder(path, disk(host))).unwrap()
     }
 
     /** The tasks by host. */
