--- a/daemon/src/main/kotlin/io/primroseflow/daemon/control/ReplicaTask.kt
+++ b/daemon/src/main/kotlin/io/primroseflow/daemon/control/ReplicaTask.kt
@@ -82,6 +82,9 @@
 /** Interval at which queries are rejected while nothing can be written. */
 private val REJECTION_INTERVAL: Duration = 50.milliseconds
 
+/** Delay before another snapshot is taken after one that could not be stored. */
+private val SNAPSHOT_RETRY_DELAY: Duration = 5.seconds
+
 /** Interval at which a replica with an empty data folder asks the others for their history. */
 private val HISTORY_QUERY_INTERVAL: Duration = 200.milliseconds
 
@@ -182,6 +185,7 @@
     private var lastReadNumber = 0L
     private var isLogFailing = false
     private var isSnapshotFailing = false
+    private var nextSnapshotAt = Instant.DISTANT_PAST
     private var isDiskLost = false
     private var skippedEntries = 0L
     private var loggedRole = replica.role
@@ -573,12 +577,13 @@
     }
 
     private suspend fun snapshotIfDue() {
-        if (storage.logBytes < SNAPSHOT_LOG_BYTES) return
+        if (storage.logBytes < SNAPSHOT_LOG_BYTES || clock.now() < nextSnapshotAt) return
         val snapshot = Snapshot(replica.snapshotMetadata(), state.toSnapshot())
         val rest = replica.compact(snapshot)
         val failure = writeOnce { storage.replace(snapshot, null, rest) }
         isSnapshotFailing = failure != null
         if (failure == null) return
+        nextSnapshotAt = clock.now() + SNAPSHOT_RETRY_DELAY
         log.error(
             "the log of {} bytes could not be replaced by a snapshot: {}",
             storage.logBytes,
--- a/daemon/src/test/kotlin/io/primroseflow/daemon/control/FullDisksTest.kt
+++ b/daemon/src/test/kotlin/io/primroseflow/daemon/control/FullDisksTest.kt
@@ -3,6 +3,7 @@
 import com.github.michaelbull.result.unwrap
 import io.kotest.core.spec.style.DescribeSpec
 import io.kotest.matchers.collections.shouldBeEmpty
+import io.kotest.matchers.comparables.shouldBeLessThanOrEqualTo
 import io.kotest.matchers.ints.shouldBeGreaterThan
 import io.kotest.matchers.shouldBe
 import io.primroseflow.consensus.EntryContent
@@ -14,18 +15,24 @@
 import io.primroseflow.daemon.peer.ControlQuery
 import io.primroseflow.daemon.peer.ControlReply
 import io.primroseflow.daemon.storage.DiskFolder
+import io.primroseflow.daemon.storage.FailedEffect
 import io.primroseflow.daemon.storage.FaultyDisk
 import io.primroseflow.daemon.storage.ReplicaStorage
 import io.primroseflow.model.HostId
 import java.nio.file.Files
 import java.util.concurrent.CountDownLatch
 import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+import kotlin.time.TimeSource
 import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.delay
 
 /** Bytes of a policy of which a few fill a log up to its limit. */
 private const val LARGE_POLICY_BYTES = 300_000
 
+/** The delay after which a snapshot that could not be stored is tried again. */
+private val SNAPSHOT_RETRY_DELAY = 5.seconds
+
 /** A group whose disks fail on demand. */
 private class FaultyGroup {
     val disks = groupHosts.associateWith { FaultyDisk() }
@@ -155,4 +162,27 @@
                 }
             }
         }
+
+        // A replica encoded its whole state with each message while its disk was full.
+        describe("a replica whose log has reached its limit") {
+            it("pauses between attempts at a snapshot that cannot be stored") {
+                val faulty = FaultyGroup()
+                faulty.group.run {
+                    val start = TimeSource.Monotonic.markNow()
+                    for (disk in faulty.disks.values) {
+                        disk.failedEffect = FailedEffect.Part
+                        disk.fails = { it.kind.needsRoom && it.file.startsWith("snapshot-") }
+                    }
+                    val text = "{\"x\":\"${"x".repeat(LARGE_POLICY_BYTES)}\"}"
+                    repeat(10) { faulty.raisePolicy(text) }
+                    repeat(50) { faulty.raisePolicy() }
+                    val elapsed = start.elapsedNow()
+                    for (disk in faulty.disks.values) {
+                        val attempts = disk.created.count { it.startsWith("snapshot-") }
+                        val allowed = 1 + (elapsed / SNAPSHOT_RETRY_DELAY).toInt()
+                        attempts shouldBeLessThanOrEqualTo allowed
+                    }
+                }
+            }
+        }
     })
