Wait for the disk at the start of a control host

What operators would see: a control host that started while its disk was full ended, and with it the process, again and again until the disk had room.

Cause: the identity, the first records and the reopened log are written at the start, and a failure ended the run of the host.

Change: each of these steps is repeated while the disk fails, with a line in the log and a gauge (control_disk_failing). A locked or damaged folder still ends the process with the reason. The folder is released when the run ends.

--- a/daemon/src/main/kotlin/io/primroseflow/daemon/HostProcesses.kt
+++ b/daemon/src/main/kotlin/io/primroseflow/daemon/HostProcesses.kt
@@ -159,7 +159,7 @@
             retryLimits = settings.retryLimits
         ),
         loop = context.loop,
-        folder = DiskFolder(settings.dataFolder),
+        openFolder = { DiskFolder(settings.dataFolder) },
         directory = platform.directory(context.fetcher),
         decoder = platform.decoder,
         clock = context.clock,
--- a/daemon/src/main/kotlin/io/primroseflow/daemon/StartupRehearsal.kt
+++ b/daemon/src/main/kotlin/io/primroseflow/daemon/StartupRehearsal.kt
@@ -126,7 +126,7 @@
             retryLimits = RetryLimits()
         ),
         loop = context.loop,
-        folder = DiskFolder(Files.createTempDirectory("rehearsal")),
+        openFolder = { DiskFolder(Files.createTempDirectory("rehearsal")) },
         directory = directory,
         decoder = platform.decoder,
         clock = clock,
--- a/daemon/src/main/kotlin/io/primroseflow/daemon/control/ControlHost.kt
+++ b/daemon/src/main/kotlin/io/primroseflow/daemon/control/ControlHost.kt
@@ -1,7 +1,9 @@
 package io.primroseflow.daemon.control
 
+import com.github.michaelbull.result.Result
 import com.github.michaelbull.result.getOrElse
 import com.github.michaelbull.result.mapBoth
+import com.github.michaelbull.result.onFailure
 import io.primroseflow.consensus.MembershipPlanner
 import io.primroseflow.consensus.MembershipSettings
 import io.primroseflow.consensus.ReplicaMessage
@@ -32,6 +34,7 @@
 import io.primroseflow.daemon.repeatContained
 import io.primroseflow.daemon.socket.EventLoop
 import io.primroseflow.daemon.storage.DataFolder
+import io.primroseflow.daemon.storage.FolderLockedException
 import io.primroseflow.daemon.storage.ReplicaStorage
 import io.primroseflow.daemon.storage.StorageError
 import io.primroseflow.fleet.QuotaTolerance
@@ -39,16 +42,19 @@
 import io.primroseflow.model.DataCentreId
 import io.primroseflow.model.HostId
 import io.primroseflow.timeline.HybridClock
+import java.io.IOException
 import kotlin.random.Random
 import kotlin.time.Clock
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Dispatchers
 import kotlinx.coroutines.cancelChildren
 import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
+import kotlinx.coroutines.withContext
 
 /** Time after which the result of an operator's request is reported as unknown. */
 private val POLICY_TIMEOUT: Duration = 3.seconds
@@ -88,37 +94,73 @@
 internal class ControlHost(
     private val settings: ControlHostSettings,
     private val loop: EventLoop,
-    private val folder: DataFolder,
+    private val openFolder: () -> DataFolder,
     private val directory: TargetDirectory,
     private val decoder: PolicyDecoder,
     private val clock: Clock,
     private val random: Random,
     private val log: EventLog
 ) : PolicyOperations {
-    private val identityStore = ControlIdentityStore(folder, settings.address, random)
     private val policy = RoutedPolicyInForce(decoder, log) { running?.scheduler?.onPolicy(it) }
 
     @Volatile
     private var running: RunningReplica? = null
 
+    @Volatile
+    private var isDiskFailing = false
+
     /**
      * Runs this host until cancelled or until its data folder is unusable.
      *
-     * If the replica has lost its disk, it rejoins the group under a new host id.
+     * If the replica has lost its disk, it rejoins the group under a new host id. While the disk
+     * does not accept what a start has to write, this host waits.
      *
      * @return the reason why the data folder cannot be used
      */
     suspend fun run(): StorageError {
-        var identity = identityStore.findOrNull() ?: initialIdentity()
+        val folder = try {
+            onceDiskAccepts { openFolder() }
+        } catch (e: FolderLockedException) {
+            return StorageError.Unusable(e)
+        }
+        return folder.use { runOn(it) }
+    }
+
+    private suspend fun runOn(folder: DataFolder): StorageError {
+        val identityStore = ControlIdentityStore(folder, settings.address, random)
+        var identity =
+            onceDiskAccepts { identityStore.findOrNull() } ?: initialIdentity(identityStore)
         while (true) {
-            identityStore.save(identity)
-            val storage = ReplicaStorage.open(folder).getOrElse { return it }
+            onceDiskAccepts { identityStore.save(identity) }
+            val storage = onceDiskAccepts { openStorage(folder) }.getOrElse { return it }
             val end = runAs(identity, storage)
             log.warn("replica_renamed", "was" to identity.host, "because" to end)
             identity = identityStore.newJoiner()
         }
     }
 
+    /** Returns the result of [step], which is repeated while the disk fails. */
+    private suspend fun <T> onceDiskAccepts(step: () -> T): T {
+        while (true) {
+            try {
+                val result = withContext(Dispatchers.IO) { step() }
+                if (isDiskFailing) log.info("disk_regained")
+                isDiskFailing = false
+                return result
+            } catch (e: FolderLockedException) {
+                throw e
+            } catch (e: IOException) {
+                if (!isDiskFailing) log.warn("disk_failing", "cause" to e)
+                isDiskFailing = true
+                delay(DISK_RETRY_DELAY)
+            }
+        }
+    }
+
+    /** Opens the storage of the replica; a failure of the disk is thrown, as it may pass. */
+    private fun openStorage(folder: DataFolder): Result<ReplicaStorage, StorageError> =
+        ReplicaStorage.open(folder).onFailure { if (it is StorageError.Unusable) throw it.cause }
+
     override suspend fun put(text: String): PolicyUpdateResult = decoder.decode(text).mapBoth(
         success = { raisePolicy(it.revision, text) },
         failure = { PolicyUpdateResult.Invalid(it) }
@@ -143,6 +185,9 @@
             replica.status.membership.voters.size
         }
         gauge("policy_revision", "Policy in force at this host") { policy.revision.number }
+        page.gauge("control_disk_failing", "1 while the disk of this host does not accept writes") {
+            if (isDiskFailing || running?.replica?.status?.isDiskFailing == true) 1 else 0
+        }
         gauge("skipped_entries", "Committed entries that could not be applied since the start") {
             replica.status.skippedEntries
         }
@@ -163,7 +208,7 @@
         running?.replica?.transferLeadership()
     }
 
-    private fun initialIdentity(): ControlIdentity {
+    private fun initialIdentity(identityStore: ControlIdentityStore): ControlIdentity {
         val seeds = settings.seeds().map(::HostId).toSet()
         val isFounder = settings.isFirstStart && HostId(settings.address) in seeds
         return if (isFounder) identityStore.newFounder(seeds) else identityStore.newJoiner()
--- a/daemon/src/test/kotlin/io/primroseflow/daemon/entry/RoutedFixture.kt
+++ b/daemon/src/test/kotlin/io/primroseflow/daemon/entry/RoutedFixture.kt
@@ -183,7 +183,7 @@
             retryLimits = RetryLimits(allowance = 100)
         ),
         loop,
-        DiskFolder(folder),
+        { DiskFolder(folder) },
         directory,
         decoder,
         clock,
