Store again what a restart has read, and mend what a review of the full disks found

Opening a log writes its valid bytes again.

Left open: with fixed peers a start on a failing disk ends; several writes in one round can each take the time of an election; a follower that can't write names its former leader; a wrong folder is waited for with one line.

--- a/daemon/src/main/kotlin/io/primroseflow/daemon/StartupRehearsal.kt
+++ b/daemon/src/main/kotlin/io/primroseflow/daemon/StartupRehearsal.kt
@@ -114,6 +114,8 @@
         return isReady && samples.requests.all { isAnswered(it, settings.callerPort) }
     }
 
+    private val dataFolder = Files.createTempDirectory("rehearsal")
+
     private fun controlHost() = ControlHost(
         settings = ControlHostSettings(
             address = CONTROL_ADDRESS,
@@ -126,7 +128,7 @@
             retryLimits = RetryLimits()
         ),
         loop = context.loop,
-        openFolder = { DiskFolder(Files.createTempDirectory("rehearsal")) },
+        openFolder = { DiskFolder(dataFolder) },
         directory = directory,
         decoder = platform.decoder,
         clock = clock,
--- a/daemon/src/main/kotlin/io/primroseflow/daemon/control/ReplicaTask.kt
+++ b/daemon/src/main/kotlin/io/primroseflow/daemon/control/ReplicaTask.kt
@@ -462,7 +462,12 @@
 
     /** Lets another replica lead, if there is one, as this one cannot write. */
     private fun standAside() {
+        val wasLeader = replica.role == ReplicaRole.Leader
         replica.stepDown(clock.now())
+        if (wasLeader && replica.role != ReplicaRole.Leader) {
+            commands.values.forEach { it.onReply(ControlReply.OutcomeUnknown) }
+            commands.clear()
+        }
         updateStatus()
     }
 
@@ -577,7 +582,11 @@
     }
 
     private suspend fun snapshotIfDue() {
-        if (storage.logBytes < SNAPSHOT_LOG_BYTES || clock.now() < nextSnapshotAt) return
+        if (storage.logBytes < SNAPSHOT_LOG_BYTES) {
+            isSnapshotFailing = false
+            return
+        }
+        if (clock.now() < nextSnapshotAt) return
         val snapshot = Snapshot(replica.snapshotMetadata(), state.toSnapshot())
         val rest = replica.compact(snapshot)
         val failure = writeOnce { storage.replace(snapshot, null, rest) }
--- a/daemon/src/main/kotlin/io/primroseflow/daemon/storage/DataFolder.kt
+++ b/daemon/src/main/kotlin/io/primroseflow/daemon/storage/DataFolder.kt
@@ -8,8 +8,6 @@
 import java.nio.file.Path
 import java.nio.file.StandardOpenOption
 import kotlin.io.path.createDirectories
-import kotlin.io.path.listDirectoryEntries
-import kotlin.io.path.name
 
 /** A file that can only be appended to. */
 internal interface AppendOnlyFile : AutoCloseable {
@@ -44,8 +42,8 @@
     /** Writes [bytes] like [write] and returns the file, opened for appending to them. */
     fun create(name: String, bytes: ByteArray): AppendOnlyFile
 
-    /** Opens the existing file [name] for appending, truncated to [size] bytes. */
-    fun open(name: String, size: Long): AppendOnlyFile
+    /** Replaces the content of the existing file [name] by [bytes], and opens it for appending. */
+    fun open(name: String, bytes: ByteArray): AppendOnlyFile
 
     /** Deletes the file [name] durably, if it exists. */
     fun delete(name: String)
@@ -76,12 +74,20 @@
             StandardOpenOption.CREATE,
             StandardOpenOption.WRITE
         )
-        lock = lockOrNull() ?: throw FolderLockedException(path)
-        path.listDirectoryEntries("*$TEMPORARY_SUFFIX").forEach(::deleteIfPossible)
+        try {
+            lock = lockOrNull() ?: throw FolderLockedException(path)
+            allNames().filter { it.endsWith(TEMPORARY_SUFFIX) }
+                .forEach { deleteIfPossible(path.resolve(it)) }
+        } catch (e: IOException) {
+            lockFile.close()
+            throw e
+        }
     }
 
-    override fun names(): List<String> = path.listDirectoryEntries().map { it.name }
-        .filter { it != LOCK_FILE && !it.endsWith(TEMPORARY_SUFFIX) }
+    override fun names(): List<String> =
+        allNames().filter { it != LOCK_FILE && !it.endsWith(TEMPORARY_SUFFIX) }
+
+    private fun allNames(): List<String> = disk.names(path)
 
     override fun read(name: String): ByteArray = Files.readAllBytes(path.resolve(name))
 
@@ -102,13 +108,15 @@
         }
     }
 
-    override fun open(name: String, size: Long): AppendOnlyFile =
+    // A former process may have failed to make durable what can be read, its name included, and a
+    // sync stores only what was written since.
+    override fun open(name: String, bytes: ByteArray): AppendOnlyFile =
         disk.open(path.resolve(name)).closedOnFailure { file ->
-            file.truncate(size)
+            file.write(bytes, position = 0)
+            file.truncate(bytes.size.toLong())
             file.sync()
-            // A process that ended may have created the file without making its name durable.
             disk.syncFolder(path)
-            DiskAppendOnlyFile(file, size)
+            DiskAppendOnlyFile(file, bytes.size.toLong())
         }
 
     override fun delete(name: String) {
--- a/daemon/src/main/kotlin/io/primroseflow/daemon/storage/Disk.kt
+++ b/daemon/src/main/kotlin/io/primroseflow/daemon/storage/Disk.kt
@@ -3,13 +3,16 @@
 import java.io.IOException
 import java.nio.ByteBuffer
 import java.nio.channels.FileChannel
+import java.nio.file.DirectoryIteratorException
 import java.nio.file.Files
 import java.nio.file.Path
 import java.nio.file.StandardCopyOption
 import java.nio.file.StandardOpenOption
+import kotlin.io.path.listDirectoryEntries
+import kotlin.io.path.name
 
 /**
- * The calls of the operating system that change files.
+ * The calls of the operating system that change files or list them.
  *
  * Any of them may throw an [IOException], with or without having taken effect.
  */
@@ -28,6 +31,9 @@
 
     /** Makes the names of the files in [folder] durable. */
     fun syncFolder(folder: Path)
+
+    /** Returns the names of the files in [folder]. */
+    fun names(folder: Path): List<String>
 }
 
 /** A file of a [Disk] that is open for writing. */
@@ -67,6 +73,12 @@
     override fun syncFolder(folder: Path) {
         FileChannel.open(folder, StandardOpenOption.READ).use { it.force(true) }
     }
+
+    override fun names(folder: Path): List<String> = try {
+        folder.listDirectoryEntries().map { it.name }
+    } catch (e: DirectoryIteratorException) {
+        throw e.cause ?: IOException(e)
+    }
 }
 
 private class SystemFile(private val channel: FileChannel) : DiskFile {
--- a/daemon/src/main/kotlin/io/primroseflow/daemon/storage/ReplicaStorage.kt
+++ b/daemon/src/main/kotlin/io/primroseflow/daemon/storage/ReplicaStorage.kt
@@ -207,7 +207,12 @@
         private fun create(folder: DataFolder): Result<ReplicaStorage, StorageError> {
             val frame = encodeRecord(LogRecord())
             val log = folder.create(logName(1), frame)
-            folder.write(FORMAT_FILE, FORMAT.encodeToByteArray())
+            try {
+                folder.write(FORMAT_FILE, FORMAT.encodeToByteArray())
+            } catch (e: IOException) {
+                log.close()
+                throw e
+            }
             return Ok(ReplicaStorage(folder, RestoredState(), false, sequence = 1, log))
         }
 
@@ -215,7 +220,8 @@
             folder: DataFolder,
             name: String
         ): Result<ReplicaStorage, StorageError> {
-            val scan = scanFrames(folder.read(name))
+            val bytes = folder.read(name)
+            val scan = scanFrames(bytes)
             if (scan is FrameScan.Corrupt) return Err(StorageError.Corrupt(name, scan.offset))
             val valid = scan as FrameScan.Valid
             val records = valid.contents.map { content ->
@@ -232,7 +238,7 @@
                 snapshot = snapshot,
                 entries = replay(records)
             )
-            val log = folder.open(name, valid.end.toLong())
+            val log = folder.open(name, bytes.copyOf(valid.end))
             val sequence = name.removePrefix(LOG_PREFIX).toLong()
             val storage = ReplicaStorage(folder, restored, hardState != null, sequence, log)
             storage.ifPossible(storage::deleteObsolete)
--- a/daemon/src/test/kotlin/io/primroseflow/daemon/control/FullDisksTest.kt
+++ b/daemon/src/test/kotlin/io/primroseflow/daemon/control/FullDisksTest.kt
@@ -58,9 +58,9 @@
         }
     }
 
-    suspend fun awaitLeader(except: HostId? = null): HostId {
+    suspend fun awaitLeader(): HostId {
         while (true) {
-            leaders.firstOrNull { it != except }?.let { return it }
+            leaders.firstOrNull()?.let { return it }
             delay(10.milliseconds)
         }
     }
@@ -84,6 +84,11 @@
     }
 }
 
+/** Waits until exactly one replica leads, which is not [former]. */
+private suspend fun awaitOtherLeader(faulty: FaultyGroup, former: HostId) {
+    while (faulty.leaders.size != 1 || former in faulty.leaders) delay(10.milliseconds)
+}
+
 class FullDisksTest :
     DescribeSpec({
         // Changes stayed unanswered long after the last of the disks had room again.
@@ -120,9 +125,10 @@
                     val former = faulty.awaitLeader()
                     faulty.fill(former)
                     faulty.raisePolicy()
-                    val next = faulty.awaitLeader(except = former)
-                    while (faulty.leaders != setOf(next)) delay(10.milliseconds)
-                    faulty.group.tasks.getValue(former).status.isDiskFailing shouldBe true
+                    awaitOtherLeader(faulty, former)
+                    while (!faulty.group.tasks.getValue(former).status.isDiskFailing) {
+                        delay(10.milliseconds)
+                    }
                     faulty.makeRoom(former)
                     while (faulty.group.tasks.getValue(former).status.leader == null) {
                         delay(10.milliseconds)
@@ -145,8 +151,7 @@
                             false
                         }
                         faulty.raisePolicy()
-                        val next = faulty.awaitLeader(except = former)
-                        while (faulty.leaders != setOf(next)) delay(10.milliseconds)
+                        awaitOtherLeader(faulty, former)
                         val reply = CompletableDeferred<ControlReply>()
                         faulty.group.tasks.getValue(former)
                             .ask(ControlQuery.CurrentPolicy(PolicyRevision.NONE), reply::complete)
--- a/daemon/src/test/kotlin/io/primroseflow/daemon/storage/FailingDiskCallsTest.kt
+++ b/daemon/src/test/kotlin/io/primroseflow/daemon/storage/FailingDiskCallsTest.kt
@@ -49,21 +49,47 @@
     /** Opens the storage, as a process does that starts. */
     fun start() {
         close()
-        folder = DiskFolder(path, disk)
         repeat(MAX_ATTEMPTS) {
-            val opened = ReplicaStorage.open(checkNotNull(folder)).getOrElse { fault ->
-                if (fault !is StorageError.Unusable) error("$fault")
-                null
-            }
+            val opened = openOrNull()
             if (opened != null) {
                 storage = opened
                 check(opened.restored)
+                // The replica counts on what it has read, also if no append of it was confirmed.
+                hardStates = listOf(opened.restored.hardState)
+                val base = opened.restored.snapshot?.metadata?.index ?: LogIndex.ZERO
+                confirmed.removeIf { it.index > base }
+                confirmed += opened.restored.entries
+                checkRestarts()
                 return
             }
         }
         error("the storage cannot be opened")
     }
 
+    private fun openOrNull(): ReplicaStorage? = try {
+        val opened = folder ?: DiskFolder(path, disk).also { folder = it }
+        ReplicaStorage.open(opened).getOrElse { fault ->
+            if (fault !is StorageError.Unusable) error("$fault")
+            null
+        }
+    } catch (e: IOException) {
+        check(e !is FolderLockedException) { "$e" }
+        null
+    }
+
+    /** Appends once, and restarts if that fails. */
+    fun appendOrRestart(hardState: HardState, vararg entries: LogEntry) {
+        hardStates = listOf(hardStates.last(), hardState)
+        attempted += entries
+        try {
+            checkNotNull(storage).append(hardState, entries.toList())
+            confirmed += entries
+            hardStates = listOf(hardState)
+        } catch (_: IOException) {
+            start()
+        }
+    }
+
     /** Appends until that succeeds, as a replica does. */
     fun append(hardState: HardState?, vararg entries: LogEntry) {
         if (hardState != null) hardStates = listOf(hardStates.last(), hardState)
@@ -108,6 +134,8 @@
     fun close() {
         storage?.closeLog()
         folder?.close()
+        storage = null
+        folder = null
     }
 
     private fun restoredFrom(folder: DataFolder): RestoredState {
@@ -144,6 +172,7 @@
         user.start()
         user.append(HardState(Term(6)), entry(7, 6))
         user.checkRestarts()
+        user.appendOrRestart(HardState(Term(7), HostId("b")), entry(8, 7))
         user.start()
     } finally {
         user.close()
--- a/daemon/src/test/kotlin/io/primroseflow/daemon/storage/FaultyDisk.kt
+++ b/daemon/src/test/kotlin/io/primroseflow/daemon/storage/FaultyDisk.kt
@@ -20,7 +20,8 @@
     Sync,
     Rename,
     Delete,
-    SyncFolder;
+    SyncFolder,
+    Names;
 
     /** Whether the call needs room on the disk, so that it fails while the disk is full. */
     val needsRoom: Boolean get() = this == Create || this == Write || this == Sync
@@ -100,6 +101,11 @@
         durableNames.putAll(names)
     }
 
+    override fun names(folder: Path): List<String> {
+        failureOrNull(DiskCall.Names, folder)?.let { throw it }
+        return SystemDisk.names(folder)
+    }
+
     /**
      * Writes what a loss of power now leaves to [folder].
      *
