Bound what reports of entry hosts state where it is decoded

Cause: the values of a message were used as they came. A host reports them again to each new leader, so they follow the leadership.

The conversions in SchedulingRecords, which every report and request passes, now leave out impossible rates and repeated tickets, bound usage, ages, rests and the number of targets and crashes, and let no count be negative. Usage is bounded to 500,000,000 units in a sixteenth of the window, since the products of UsageHistory.recall overflow above; a team that really uses more is counted with that much.

The bounds of rests, of the number of targets, and of ranks, tiers and tokens below zero come from reading: no case fails without them.

--- a/daemon/src/main/kotlin/io/primroseflow/daemon/fleet/SharedScheduler.kt
+++ b/daemon/src/main/kotlin/io/primroseflow/daemon/fleet/SharedScheduler.kt
@@ -6,11 +6,13 @@
 import io.primroseflow.daemon.peer.PeerMessage
 import io.primroseflow.daemon.peer.QuarantineReport
 import io.primroseflow.daemon.peer.digestOf
-import io.primroseflow.daemon.peer.toCondition
-import io.primroseflow.daemon.peer.toHeldSlot
+import io.primroseflow.daemon.peer.toConditions
+import io.primroseflow.daemon.peer.toEvidence
+import io.primroseflow.daemon.peer.toHeldSlots
 import io.primroseflow.daemon.peer.toRateRecords
 import io.primroseflow.daemon.peer.toSlotRequest
 import io.primroseflow.daemon.peer.toStatedRates
+import io.primroseflow.daemon.peer.toUsage
 import io.primroseflow.fleet.FleetScheduler
 import io.primroseflow.fleet.FleetShare
 import io.primroseflow.fleet.FleetStatus
@@ -310,21 +312,20 @@
         if (former?.isAttached != true) {
             log.info("host_attached", "peer" to from, "term" to term, "held" to report.held.size)
             active.attachHost(from, now)
-            active.recallUsage(from, report.used, now)
+            active.recallUsage(from, report.used.toUsage(), now)
         }
         report.quarantine?.let {
-            active.quarantine.absorb(it.evidence, it.common, now)
+            active.quarantine.absorb(it.evidence.toEvidence(), it.common, now)
             // Before that, the host may know more than it has told this scheduler.
             if (report.term == term) synchronizeQuarantine(active, from, it)
         }
         if (hasTargetList && report.fleet != targetList.version) {
             group.send(from, PeerMessage.FleetNews(targetList.version, targetList.targets))
         }
-        val conditions = report.conditions.associate { it.target to it.toCondition(now) }
-        active.updateConditions(from, conditions, now)
+        active.updateConditions(from, report.conditions.toConditions(now), now)
         onRates(active, from, report)
         val holdings = HostHoldings(
-            held = report.held.map { it.toHeldSlot(from, now) },
+            held = report.held.toHeldSlots(from, now),
             waiting = report.waiting.map { it.toSlotRequest(from, now) },
             knownHeld = report.knownHeld.mapTo(HashSet()) { SlotTicket(from, it) },
             knownWaiting = report.knownWaiting.mapTo(HashSet()) { SlotTicket(from, it) }
--- a/daemon/src/main/kotlin/io/primroseflow/daemon/peer/SchedulingRecords.kt
+++ b/daemon/src/main/kotlin/io/primroseflow/daemon/peer/SchedulingRecords.kt
@@ -1,6 +1,7 @@
 package io.primroseflow.daemon.peer
 
 import io.primroseflow.fleet.HeldSlot
+import io.primroseflow.fleet.MAX_REST
 import io.primroseflow.fleet.PartRecord
 import io.primroseflow.fleet.PromptPart
 import io.primroseflow.fleet.SlotRequest
@@ -13,11 +14,24 @@
 import io.primroseflow.model.TeamId
 import io.primroseflow.routing.RouteId
 import io.primroseflow.routing.ServiceId
+import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Instant
 import kotlinx.serialization.SerialName
 import kotlinx.serialization.Serializable
 
+/** Maximum number of targets about which one message states something. */
+private const val MAX_REPORTED_TARGETS = 16_384
+
+/** Maximum number of crashes that a report states of one part. */
+private const val MAX_REPORTED_CRASHES = 64
+
+/** Maximum number of intervals of the usage of a team; earlier ones are outside its window. */
+private const val MAX_USAGE_INTERVALS = 17
+
+/** Largest usage of a team in one interval. */
+private const val MAX_INTERVAL_UNITS = 500_000_000L
+
 /**
  * The encoded form of a [SlotRequest].
  *
@@ -131,12 +145,18 @@
         }
     }
 
-/** Returns the condition that was received at [now]. */
+/** Returns the condition that was received at [now]; a rest is bounded like that of an answer. */
 internal fun TargetConditionRecord.toCondition(now: Instant): TargetCondition = when (restMillis) {
     null -> TargetCondition.Leaving
-    else -> TargetCondition.Resting(now + restMillis.milliseconds)
+    else -> TargetCondition.Resting(now + restMillis.milliseconds.coerceAtMost(MAX_REST))
 }
 
+/** Returns the conditions that were received at [now], of no more targets than a list has. */
+internal fun List<TargetConditionRecord>.toConditions(
+    now: Instant
+): Map<TargetId, TargetCondition> =
+    take(MAX_REPORTED_TARGETS).associate { it.target to it.toCondition(now) }
+
 /** Returns the encoded form of these statements, sent at [now]. */
 internal fun Map<TargetId, StatedRate>.toRateRecords(now: Instant): List<StatedRateRecord> =
     map { (target, stated) ->
@@ -144,11 +164,27 @@
     }
 
 /**
- * Returns the statements that were received at [now]. Only their ages were sent, so the clocks of
- * other hosts do not matter.
+ * Returns the statements that were received at [now], without those of impossible rates. Only their
+ * ages were sent, so the clocks of other hosts do not matter; none is later than [now].
  */
 internal fun List<StatedRateRecord>.toStatedRates(now: Instant): Map<TargetId, StatedRate> =
-    associate { it.target to StatedRate(it.perSecond, now - it.ageMillis.milliseconds) }
+    take(MAX_REPORTED_TARGETS)
+        .filter { record -> record.perSecond?.let { it.isFinite() && it >= 0 } ?: true }
+        .associate { it.target to StatedRate(it.perSecond, now - it.ageMillis.toAge()) }
+
+/** Returns this age in milliseconds, which is not negative. */
+private fun Long.toAge(): Duration = coerceAtLeast(0).milliseconds
+
+/** Returns what a host has used by interval, within what sums and products of it can hold. */
+internal fun Map<TeamId, List<Long>>.toUsage(): Map<TeamId, List<Long>> = mapValues { (_, units) ->
+    units.take(MAX_USAGE_INTERVALS).map { it.coerceIn(0, MAX_INTERVAL_UNITS) }
+}
+
+/** Returns the reported evidence, with crashes that are no later than now and not too many. */
+internal fun List<PartRecord>.toEvidence(): List<PartRecord> = map { record ->
+    val crashes = record.crashes.take(MAX_REPORTED_CRASHES)
+    record.copy(crashes = crashes.map { it.copy(ageMillis = it.ageMillis.coerceAtLeast(0)) })
+}
 
 /** Returns the encoded form of this request, sent at [now]. */
 internal fun SlotRequest.toRecord(now: Instant): SlotRequestRecord = SlotRequestRecord(
@@ -173,21 +209,24 @@
     deadlineMillis = (deadline - now).inWholeMilliseconds
 )
 
-/** Returns the request that [host] sent and that was received at [now]. */
+/**
+ * Returns the request that [host] sent and that was received at [now]. What counts something is not
+ * negative, as a negative cost would give its team more than its quota.
+ */
 internal fun SlotRequestRecord.toSlotRequest(host: HostId, now: Instant): SlotRequest = SlotRequest(
     ticket = SlotTicket(host, ticket),
     service = service,
     route = route,
     team = team,
     dataCentre = dataCentre,
-    rank = rank,
-    tier = tier,
-    cost = cost,
+    rank = rank.coerceAtLeast(0),
+    tier = tier.coerceAtLeast(0),
+    cost = cost.coerceAtLeast(0),
     isStream = isStream,
-    promptTokens = promptTokens,
-    outputHint = outputHint,
-    outputLimit = outputLimit,
-    parts = parts,
+    promptTokens = promptTokens.coerceAtLeast(0),
+    outputHint = outputHint?.coerceAtLeast(0),
+    outputLimit = outputLimit.coerceAtLeast(0),
+    parts = parts.map { it.copy(tokens = it.tokens.coerceAtLeast(0)) },
     excluded = excluded,
     isRetry = isRetry,
     arrivedAt = now - waitedMillis.milliseconds,
@@ -196,6 +235,8 @@
     deadline = now + deadlineMillis.milliseconds
 )
 
-/** Returns the held slot that [host] reported and that was received at [now]. */
-internal fun HeldSlotRecord.toHeldSlot(host: HostId, now: Instant): HeldSlot =
-    HeldSlot(request.toSlotRequest(host, now), target)
+/** Returns the held slots that [host] reported and that were received at [now], one a ticket. */
+internal fun List<HeldSlotRecord>.toHeldSlots(host: HostId, now: Instant): List<HeldSlot> =
+    distinctBy {
+        it.request.ticket
+    }.map { HeldSlot(it.request.toSlotRequest(host, now), it.target) }
