Give a silent target up only for one that does not reject the request

What callers saw: a target fell silent for a second or two and went on. Meanwhile another target had a slot, and answered 421 or 503 as not run, or refused the connection. The caller's stream was cut off after three of six events, and an idempotent call was answered 502, although the first target sent the whole answer.

Cause: the exchange with the silent target was cancelled when a slot was granted. Whether the other target takes the request was found out afterwards, with nothing left to fall back on.

Change: the request is sent to the other target over a new connection while the silent one is still open. If it is rejected, the silent target goes on, and what it has sent meanwhile is forwarded. The rest is never sent if the silent target has gone on before, as that would repeat events.

Ruled out: to go on at the silent target when the other one ended or failed after it may have run the request. Both would have run it for longer than 400 ms.

--- a/daemon/src/main/kotlin/io/primroseflow/daemon/entry/RequestRelay.kt
+++ b/daemon/src/main/kotlin/io/primroseflow/daemon/entry/RequestRelay.kt
@@ -22,6 +22,15 @@
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 import kotlin.time.Instant
+import kotlinx.coroutines.CancellationException
+import kotlinx.coroutines.CompletableDeferred
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.CoroutineStart
+import kotlinx.coroutines.Deferred
+import kotlinx.coroutines.async
+import kotlinx.coroutines.selects.select
+import kotlinx.coroutines.supervisorScope
+import kotlinx.coroutines.withTimeoutOrNull
 
 /**
  * Maximum number of dispatches of a request beyond its allowed attempts. A dispatch that the target
@@ -50,9 +59,16 @@
  */
 private val NON_IDEMPOTENT_MAX_IDLE: Duration = 2.seconds
 
+/**
+ * Time in which another target may reject the request of a silent one, which is given up after it.
+ * Two targets must not work on a request for longer than 400 ms.
+ */
+private val REJECTION_TIMEOUT: Duration = 250.milliseconds
+
 /**
  * Relays one request: acquires a slot, dispatches the request to the target, forwards the answer
- * to the caller and retries elsewhere where that is allowed. At most one dispatch is in progress.
+ * to the caller and retries elsewhere where that is allowed. At most one dispatch is in progress,
+ * but for a short time in which another target may reject the request of a silent one.
  *
  * @param closes whether the caller's connection is closed after the answer
  */
@@ -82,16 +98,18 @@
     private var withheldFrom: TargetId? = null
     private var lastFailure: ExchangeResult.Buffered? = null
 
-    /** Slot at a target that takes over from a silent one, `null` if there is none. */
-    private var replacement: DecidedSlot? = null
+    /** Dispatch to a target that is to take over from a silent one, `null` if there is none. */
+    private var replacement: Replacement? = null
+
+    /** Number of dispatches whose writing has started and that have not ended. */
+    private var writtenCount = 0
 
     /** Whether a dispatch has arrived at a target, so that the next one counts as a retry. */
     private var hasReachedTarget = false
     private var lastCause = ""
 
     /** Whether a target may have run the request. */
-    var mayHaveRun: Boolean = false
-        private set
+    val mayHaveRun: Boolean get() = attempts > 0 || writtenCount > 0
 
     /**
      * Whether a target is working on a request that must not be cancelled when its caller
@@ -116,28 +134,51 @@
 
     /** Relays the request and returns how it ended. */
     suspend fun run(): RelayResult = try {
-        runAttempts()
+        supervisorScope {
+            try {
+                runAttempts(this)
+            } finally {
+                dropReplacement()
+            }
+        }
     } finally {
-        dropReplacement()
         memory.close()
     }
 
-    private suspend fun runAttempts(): RelayResult {
+    private suspend fun runAttempts(scope: CoroutineScope): RelayResult {
         while (true) {
-            val slot = takeReplacementOrNull() ?: acquire()
-            when (val decision = slot.decision) {
-                is SlotDecision.Refuse -> return resultOfRefusal(decision)
-
-                is SlotDecision.Grant -> {
-                    isCharged = true
-                    val result = dispatch(slot.request, decision.target)
-                    if (result == ExchangeResult.Withheld) onWithheld(decision.target.id)
-                    resultOrNull(result)?.let { return it }
-                }
+            val next = replacement
+            val result = if (next == null) resultOfNext(scope) else resultOf(next)
+            if (result != null) return result
+        }
+    }
+
+    /** Dispatches the request and returns the result of the relay, or `null` if it is retried. */
+    private suspend fun resultOfNext(scope: CoroutineScope): RelayResult? {
+        val slot = acquire()
+        return when (val decision = slot.decision) {
+            is SlotDecision.Refuse -> resultOfRefusal(decision)
+
+            is SlotDecision.Grant -> {
+                isCharged = true
+                val listener = Listener(decision.target.id, scope)
+                resultOrNull(decision.target.id, dispatch(slot.request, decision.target, listener))
             }
         }
     }
 
+    /** Lets [taken] answer the caller and returns the result, or `null` if it is retried. */
+    private suspend fun resultOf(taken: Replacement): RelayResult? {
+        replacement = null
+        taken.isInCharge.complete(Unit)
+        val result = taken.exchange.await()
+        return when {
+            result != null -> resultOrNull(taken.target.id, result)
+            canRetry() -> null
+            else -> failureResult()
+        }
+    }
+
     private suspend fun acquire(): DecidedSlot {
         val askedAt = clock.now()
         val slotRequest = nextSlotRequest(excluded, hasReachedTarget)
@@ -146,10 +187,9 @@
         return DecidedSlot(slotRequest, decision)
     }
 
-    private fun takeReplacementOrNull(): DecidedSlot? = replacement.also { replacement = null }
-
     private fun dropReplacement() {
-        takeReplacementOrNull()?.let { context.slots.release(it.request.ticket, SlotEnd.Cancelled) }
+        replacement?.exchange?.cancel()
+        replacement = null
     }
 
     private fun nextSlotRequest(without: Set<TargetId>, isRetry: Boolean): SlotRequest {
@@ -204,31 +244,38 @@
         return RelayResult.Refused(refusal, decision.retryAfter)
     }
 
-    private suspend fun dispatch(slotRequest: SlotRequest, target: FleetTarget): ExchangeResult {
+    private suspend fun dispatch(
+        slotRequest: SlotRequest,
+        target: FleetTarget,
+        listener: Listener
+    ): ExchangeResult {
         val start = clock.now()
         var end: SlotEnd = SlotEnd.Cancelled
+        var result: ExchangeResult? = null
         dispatches++
         targets += target.id
-        val listener = Listener(target.id)
         try {
-            val result = context.exchanger.run(dispatchTo(target), listener)
+            result = context.exchanger.run(dispatchTo(target, listener), listener)
             if (result is ExchangeResult.Failed) logFailure(target.id, result, listener)
             end = slotEnd(result, start, listener)
-            // A dispatch that was not run resets mayHaveRun to what the earlier attempts left.
+            return result
+        } finally {
+            if (listener.isWritten) writtenCount--
             when (result) {
-                is ExchangeResult.NotRun -> mayHaveRun = attempts > 0
+                is ExchangeResult.NotRun -> Unit
 
                 ExchangeResult.Withheld -> {
                     dispatches--
-                    targets.removeLast()
+                    targets.removeAt(targets.lastIndexOf(target.id))
                 }
 
                 is ExchangeResult.Buffered,
                 is ExchangeResult.Streamed,
                 is ExchangeResult.Failed -> attempts++
+
+                // A dispatch that was cancelled may have been run.
+                null -> if (listener.isWritten) attempts++
             }
-            return result
-        } finally {
             isUncancellable = false
             context.slots.release(slotRequest.ticket, end)
         }
@@ -256,13 +303,14 @@
         withheldFrom = target
     }
 
-    private fun dispatchTo(target: FleetTarget): Dispatch {
+    private fun dispatchTo(target: FleetTarget, listener: Listener): Dispatch {
         val head = request.incoming.head
         val timeLeft = (request.deadline - clock.now()).coerceAtLeast(1.milliseconds)
         val traits = DispatchTraits(timeLeft, target.id, request.team?.id, lastEventId)
         val isRepeatable = route.repeatability != Repeatability.NonIdempotent
         // Without another target to retry at, a slow answer is no reason to give up early.
-        val canRetryElsewhere = isRepeatable && attempts + 1 < route.maxAttempts &&
+        val attemptsWithThis = attempts + if (listener.isReplacement) 2 else 1
+        val canRetryElsewhere = isRepeatable && attemptsWithThis < route.maxAttempts &&
             dispatches < route.maxAttempts + MAX_EXTRA_DISPATCHES
         return Dispatch(
             target = target.id,
@@ -275,7 +323,14 @@
             isStream = route.isStream,
             resumed = lastEventId?.let { ResumedStream(it, mediaType) },
             memory = memory,
-            maxIdle = if (isRepeatable) Duration.INFINITE else NON_IDEMPOTENT_MAX_IDLE,
+            maxIdle = when {
+                // A new connection shows that the target has not ended.
+                listener.isReplacement -> Duration.ZERO
+
+                isRepeatable -> Duration.INFINITE
+
+                else -> NON_IDEMPOTENT_MAX_IDLE
+            },
             firstTimeout = if (canRetryElsewhere) firstTimeout(timeLeft) else timeLeft,
             gapTimeout = if (canRetryElsewhere) RESUMABLE_GAP_TIMEOUT else timeLeft,
             isReplaceable = canRetryElsewhere
@@ -322,34 +377,48 @@
         outputTokens = tokens
     )
 
-    /** Returns the result of the relay after [result], or `null` if the request is retried. */
-    private suspend fun resultOrNull(result: ExchangeResult): RelayResult? = when (result) {
-        ExchangeResult.Withheld -> null
+    /**
+     * Returns the result of the relay after [result] of [target], or `null` if the request is
+     * retried or has a replacement already.
+     */
+    private suspend fun resultOrNull(target: TargetId, result: ExchangeResult): RelayResult? =
+        when (result) {
+            ExchangeResult.Withheld -> {
+                onWithheld(target)
+                null
+            }
 
-        is ExchangeResult.Streamed -> {
-            writeToCaller { connection.finishChunked() }
-            RelayResult.Answered(OK)
-        }
+            is ExchangeResult.Streamed -> {
+                writeToCaller { connection.finishChunked() }
+                RelayResult.Answered(OK)
+            }
 
-        is ExchangeResult.Buffered -> resultOfAnswer(result)
+            is ExchangeResult.Buffered -> resultOfAnswer(target, result)
 
-        is ExchangeResult.NotRun -> {
-            lastCause = result.cause
-            excludeLastTarget()
-            if (!result.isUnreachable) hasReachedTarget = true
-            if (canRetry()) null else failureResult()
-        }
+            is ExchangeResult.NotRun -> {
+                onNotRun(target, result)
+                if (canRetry()) null else failureResult()
+            }
 
-        is ExchangeResult.Failed -> {
-            lastCause = result.cause
-            excludeLastTarget()
-            val isRepeatable = route.repeatability != Repeatability.NonIdempotent
-            hasReachedTarget = true
-            if (isRepeatable && isStreamResumable && canRetry()) null else failureResult()
+            is ExchangeResult.Failed -> {
+                lastCause = result.cause
+                exclude(target)
+                val isRepeatable = route.repeatability != Repeatability.NonIdempotent
+                hasReachedTarget = true
+                if (isRepeatable && isStreamResumable && canRetry()) null else failureResult()
+            }
         }
+
+    private fun onNotRun(target: TargetId, result: ExchangeResult.NotRun) {
+        lastCause = result.cause
+        exclude(target)
+        if (!result.isUnreachable) hasReachedTarget = true
     }
 
-    private suspend fun resultOfAnswer(result: ExchangeResult.Buffered): RelayResult? {
+    private suspend fun resultOfAnswer(
+        target: TargetId,
+        result: ExchangeResult.Buffered
+    ): RelayResult? {
         val status = result.head.status
         if (hasStream) return RelayResult.Broken("status $status for a resumed stream")
         val isFailure = status >= FIRST_SERVER_ERROR
@@ -357,7 +426,7 @@
         if (isFailure && isRepeatable) {
             lastFailure = result
             lastCause = "answered $status"
-            excludeLastTarget()
+            exclude(target)
             hasReachedTarget = true
             if (canRetry()) return null
         }
@@ -384,14 +453,15 @@
     }
 
     /**
-     * Excludes the last target from further dispatches, unless it is not available at present
-     * anyway; it may be used again after its rest.
+     * Excludes [target] from further dispatches, unless it is not available at present anyway; it
+     * may be used again after its rest.
      */
-    private fun excludeLastTarget() {
-        targets.lastOrNull()?.takeIf { context.conditions.isAvailable(it) }?.let { excluded += it }
+    private fun exclude(target: TargetId) {
+        if (context.conditions.isAvailable(target)) excluded += target
     }
 
     private fun canRetry(): Boolean {
+        if (replacement != null) return true
         if (
             attempts >= route.maxAttempts ||
             dispatches >= route.maxAttempts + MAX_EXTRA_DISPATCHES
@@ -411,16 +481,33 @@
         }
     }
 
-    private inner class Listener(private val target: TargetId) : ExchangeListener {
+    /** @param own what the exchange is part of if it is to take over from a silent target */
+    private inner class Listener(
+        private val target: TargetId,
+        private val scope: CoroutineScope,
+        private val own: Replacement? = null
+    ) : ExchangeListener {
         var firstAt: Instant? = null
             private set
 
+        var isWritten = false
+            private set
+
+        /** Whether the exchange waits until a silent target is given up. */
+        val isReplacement: Boolean get() = own != null && !own.isInCharge.isCompleted
+
+        override val hasReplacement: Boolean
+            get() = !isReplacement && replacement?.isSent == true
+
         override fun onWriteStarting() {
-            mayHaveRun = true
+            own?.onWriteStarting()
+            isWritten = true
+            writtenCount++
             isUncancellable = !route.isStream && route.repeatability == Repeatability.NonIdempotent
         }
 
         override suspend fun onStream(head: HttpAnswerHead) {
+            awaitTurn()
             if (hasStream) return
             hasStream = true
             mediaType = head.fields.findOrNull("Content-Type")
@@ -433,6 +520,7 @@
             lastId: String?,
             isResumable: Boolean
         ) {
+            awaitTurn()
             if (firstAt == null) firstAt = clock.now()
             if (beganAt == null) beganAt = firstAt
             isStreamResumable = isResumable
@@ -441,18 +529,107 @@
             writeToCaller { connection.writeChunk(bytes, 0, length) }
         }
 
+        /** Waits until no other exchange may forward events. */
+        private suspend fun awaitTurn() {
+            own?.hasAnswered?.complete(Unit)
+            own?.isInCharge?.await()
+            while (hasReplacement) replacement?.isRejected?.await()
+        }
+
         override suspend fun awaitReplacement(): Boolean {
-            if (!isStreamResumable) return false
-            val slotRequest = nextSlotRequest(excluded + target, isRetry = true)
-            val decision = context.slots.acquire(slotRequest)
-            if (decision is SlotDecision.Refuse) return false
-            replacement = DecidedSlot(slotRequest, decision)
+            while (!isReplacement && isStreamResumable && canAddAttempt()) {
+                val slotRequest = nextSlotRequest(excluded + target, isRetry = true)
+                val decision = context.slots.acquire(slotRequest)
+                if (decision !is SlotDecision.Grant) return false
+                val candidate = Replacement(decision.target)
+                replacement = candidate
+                candidate.exchange = scope.async(start = CoroutineStart.UNDISPATCHED) {
+                    exchangeOrNull(slotRequest, candidate)
+                }
+                candidate.awaitDecision()
+                if (!isRejectedBy(candidate)) return true
+                replacement = null
+                candidate.isRejected.complete(Unit)
+                val isStale = candidate.exchange.await() == null
+                if (isStale) return false
+            }
+            return false
+        }
+
+        /** Returns whether a dispatch may be added to this one, which is in progress. */
+        private fun canAddAttempt() = attempts + 1 < route.maxAttempts && canRetry()
+
+        private suspend fun exchangeOrNull(slotRequest: SlotRequest, candidate: Replacement) = try {
+            dispatch(slotRequest, candidate.target, Listener(candidate.target.id, scope, candidate))
+        } catch (_: StaleReplacementException) {
+            null
+        }
+
+        private suspend fun isRejectedBy(candidate: Replacement): Boolean {
+            if (!candidate.exchange.isCompleted) return false
+            when (val result = candidate.exchange.await()) {
+                null -> Unit
+
+                ExchangeResult.Withheld -> onWithheld(candidate.target.id)
+
+                is ExchangeResult.NotRun -> onNotRun(candidate.target.id, result)
+
+                is ExchangeResult.Buffered,
+                is ExchangeResult.Streamed,
+                is ExchangeResult.Failed -> return false
+            }
             return true
         }
 
         override fun onReplacementUnused() = dropReplacement()
     }
 
+    /** A dispatch to [target] that starts while a silent target is still read. */
+    private inner class Replacement(val target: FleetTarget) {
+        private val resumedFrom = lastEventId
+        private val hadStream = hasStream
+        private val sent = CompletableDeferred<Unit>()
+
+        lateinit var exchange: Deferred<ExchangeResult?>
+
+        /** Completed when the answer begins. */
+        val hasAnswered = CompletableDeferred<Unit>()
+
+        /** Completed when the silent target was given up. */
+        val isInCharge = CompletableDeferred<Unit>()
+
+        /** Completed when the silent target may go on. */
+        val isRejected = CompletableDeferred<Unit>()
+
+        /** Whether the target may work on the request, unless it rejects it. */
+        val isSent: Boolean get() = sent.isCompleted
+
+        /** @throws StaleReplacementException if the silent target has gone on in the meantime */
+        fun onWriteStarting() {
+            val isStale =
+                lastEventId != resumedFrom || hasStream != hadStream || !isStreamResumable
+            if (isStale) throw StaleReplacementException()
+            sent.complete(Unit)
+        }
+
+        /** Waits until the target has answered or rejected the request, or had the time to. */
+        suspend fun awaitDecision() {
+            select {
+                exchange.onJoin {}
+                sent.onAwait {}
+            }
+            withTimeoutOrNull(REJECTION_TIMEOUT) {
+                select {
+                    exchange.onJoin {}
+                    hasAnswered.onAwait {}
+                }
+            }
+        }
+    }
+
+    /** Ends a dispatch that would have repeated events before it is sent. */
+    private class StaleReplacementException : CancellationException("the target has gone on")
+
     private class DecidedSlot(val request: SlotRequest, val decision: SlotDecision)
 
     private companion object {
--- a/daemon/src/main/kotlin/io/primroseflow/daemon/target/TargetExchanges.kt
+++ b/daemon/src/main/kotlin/io/primroseflow/daemon/target/TargetExchanges.kt
@@ -59,7 +59,8 @@
  * @property isStream whether a successful answer is forwarded event by event
  * @property resumed the stream that the answer goes on with, or `null` if none has begun
  * @property memory for an answer that is read as a whole, until it was forwarded
- * @property maxIdle maximum time for which a reused connection may have been idle
+ * @property maxIdle maximum time for which a reused connection may have been idle; if it is zero, a
+ *   new one is opened
  * @property firstTimeout time without the head of the answer, or without the first event of a
  *   stream after the head, from which the target counts as silent
  * @property gapTimeout the same for each further event of a stream, however many bytes arrive
@@ -150,14 +151,18 @@
      */
     suspend fun onEvents(bytes: ByteArray, length: Int, lastId: String?, isResumable: Boolean)
 
+    /** Whether another target was sent the request and has not rejected it. */
+    val hasReplacement: Boolean
+
     /**
-     * Waits until another target can take over, as this one is silent. Cancelled if it goes on.
+     * Waits until another target has taken over, as this one is silent. Cancelled if this one goes
+     * on before the other one was sent the request.
      *
      * @return `false` if none can at present
      */
     suspend fun awaitReplacement(): Boolean
 
-    /** The target goes on, so a replacement that was found is not needed. */
+    /** The target goes on, so another one that was not sent the request yet is not needed. */
     fun onReplacementUnused()
 }
 
@@ -172,8 +177,7 @@
     suspend fun run(dispatch: Dispatch, listener: ExchangeListener): ExchangeResult {
         val grantedAt = time.markNow()
         if (!conditions.isAvailable(dispatch.target)) return ExchangeResult.Withheld
-        val connection = pool
-            .acquireOrNull(dispatch.address, dispatch.maxIdle) { it.canIdentify(dispatch.id) }
+        val connection = idleConnectionOrNull(dispatch)
             ?: pool.openOrNull(dispatch.address)
             ?: return ExchangeResult.NotRun(isUnreachable = true, cause = "no connection")
         // The condition may have changed while the connection was opened.
@@ -199,6 +203,13 @@
         }
     }
 
+    private fun idleConnectionOrNull(dispatch: Dispatch): PooledConnection? {
+        if (dispatch.maxIdle == Duration.ZERO) return null
+        return pool.acquireOrNull(dispatch.address, dispatch.maxIdle) {
+            it.canIdentify(dispatch.id)
+        }
+    }
+
     private inner class Exchange(
         private val connection: PooledConnection,
         private val dispatch: Dispatch,
@@ -253,20 +264,20 @@
                     continue
                 }
                 if (!dispatch.isReplaceable) return silenceLimit
-                if (!isReplacementFound()) continue
-                if (!isForwarding) return silenceLimit
-                listener.onReplacementUnused()
+                if (isReplaced()) return silenceLimit
             }
         }
 
-        /** Returns whether another target can take over before this one goes on. */
-        private suspend fun isReplacementFound(): Boolean = coroutineScope {
+        /** Returns whether another target has taken over before this one goes on. */
+        private suspend fun isReplaced(): Boolean = coroutineScope {
             val before = progress
             val replacement = async { listener.awaitReplacement() }
-            while (replacement.isActive && progress == before) delay(PROGRESS_POLL_INTERVAL)
-            if (progress != before) {
-                replacement.cancelAndJoin()
+            while (replacement.isActive && (progress == before || listener.hasReplacement)) {
+                delay(PROGRESS_POLL_INTERVAL)
+            }
+            if (replacement.isActive) {
                 listener.onReplacementUnused()
+                replacement.cancelAndJoin()
                 return@coroutineScope false
             }
             val isFound = replacement.await()
