--- a/daemon/src/test/kotlin/io/primroseflow/daemon/FakeTarget.kt
+++ b/daemon/src/test/kotlin/io/primroseflow/daemon/FakeTarget.kt
@@ -15,7 +15,9 @@
 import io.ktor.server.response.respondText
 import io.ktor.utils.io.writeStringUtf8
 import java.util.concurrent.ConcurrentHashMap
+import kotlin.time.Duration
 import kotlinx.coroutines.awaitCancellation
+import kotlinx.coroutines.delay
 
 /** Length of a large answer, which exceeds all buffers between a host and a caller. */
 private const val LARGE_ANSWER_CHARACTERS = 24 * 1024 * 1024
@@ -30,6 +32,10 @@
     @Volatile
     var isSilent = false
 
+    /** Time for which each call is silent before its answer, and within a stream. */
+    @Volatile
+    var silence: Duration = Duration.ZERO
+
     /** Starts the server and returns its port. */
     suspend fun start(): Int {
         val created = embeddedServer(
@@ -64,6 +70,7 @@
         call.receiveText()
         received.merge(id, 1, Int::plus)
         if (isSilent) awaitCancellation()
+        delay(silence)
         call.response.header("X-Request-Id", id)
         when {
             path.startsWith("/v1/") -> stream(call, id)
@@ -77,6 +84,8 @@
             for (word in listOf("one", "two")) {
                 val choice = """{"index":0,"delta":{"content":"$word "},"finish_reason":null}"""
                 writeStringUtf8("data: {\"id\":\"$id\",\"choices\":[$choice]}\n\n")
+                flush()
+                delay(silence)
             }
             writeStringUtf8("data: [DONE]\n\n")
         }
--- a/daemon/src/test/kotlin/io/primroseflow/daemon/caller/DaemonStopTest.kt
+++ b/daemon/src/test/kotlin/io/primroseflow/daemon/caller/DaemonStopTest.kt
@@ -9,6 +9,7 @@
 import io.primroseflow.daemon.awaitTrue
 import java.net.ConnectException
 import java.net.Socket
+import kotlin.time.Duration.Companion.milliseconds
 import kotlinx.coroutines.Dispatchers
 import kotlinx.coroutines.async
 import kotlinx.coroutines.coroutineScope
@@ -18,6 +19,13 @@
     "Authorization: Bearer $FIRST_TOKEN\r\nX-Request-Id: $id\r\n" +
     "Content-Length: 2\r\n\r\n{}"
 
+private fun completion(id: String): String {
+    val body = """{"model":"question","stream":true,"messages":[{"role":"user","content":"x"}]}"""
+    return "POST /v1/chat/completions HTTP/1.1\r\nHost: x\r\n" +
+        "Authorization: Bearer $FIRST_TOKEN\r\nX-Request-Id: $id\r\n" +
+        "Content-Type: application/json\r\nContent-Length: ${body.length}\r\n\r\n$body"
+}
+
 private fun Socket.send(text: String) {
     getOutputStream().write(text.encodeToByteArray())
     getOutputStream().flush()
@@ -97,6 +105,25 @@
                 fixture.target.received.keys.none { "waiting" in it } shouldBe true
             }
 
+            // LOST: a call or a stream whose sound target was silent for a second was cut at the stop.
+            it("forwards the whole answers of targets that are silent for a while") {
+                val fixture = DaemonFixture.start()
+                fixture.target.silence = 400.milliseconds
+                fixture.connect().use { call ->
+                    fixture.connect().use { stream ->
+                        call.send(order("call"))
+                        stream.send(completion("stream"))
+                        awaitTrue { fixture.target.received.size == 2 }
+                        coroutineScope {
+                            val stop = async(Dispatchers.IO) { fixture.stop() }
+                            call.readToEnd() shouldContain "done for"
+                            stream.readToEnd() shouldContain "[DONE]"
+                            stop.await()
+                        }
+                    }
+                }
+            }
+
             it("completes even if callers send nothing, and closes their connections") {
                 val fixture = DaemonFixture.start()
                 fixture.connect().use { caller ->
