--- a/core/src/main/kotlin/io/primroseflow/fleet/FleetScheduler.kt
+++ b/core/src/main/kotlin/io/primroseflow/fleet/FleetScheduler.kt
@@ -37,6 +37,7 @@
  *   them even if they are more than its share
  * @param turns turns in which a host on its own uses the rates that targets have stated, `null` for
  *   the scheduler of all other hosts
+ * @param features optional parts of scheduling that are on
  */
 public class FleetScheduler(
     private val share: FleetShare = FleetShare(),
@@ -44,7 +45,8 @@
     private val retryLimits: RetryLimits? = null,
     private val neededSlots: Map<ServiceId, Int> = emptyMap(),
     public val quarantine: PartQuarantine = PartQuarantine(),
-    turns: RateTurns? = null
+    turns: RateTurns? = null,
+    private val features: SchedulingFeatures = SchedulingFeatures.NONE
 ) {
     private class RunningRequest(
         val estimated: EstimatedRequest,
--- a/daemon/src/main/kotlin/io/primroseflow/daemon/HostProcesses.kt
+++ b/daemon/src/main/kotlin/io/primroseflow/daemon/HostProcesses.kt
@@ -17,6 +17,7 @@
 import io.primroseflow.daemon.storage.StorageError
 import io.primroseflow.daemon.target.TargetConnectionPool
 import io.primroseflow.fleet.QuotaTolerance
+import io.primroseflow.fleet.SchedulingFeatures
 import io.primroseflow.limits.RetryLimits
 import io.primroseflow.model.DataCentreId
 import java.nio.file.Path
@@ -71,6 +72,7 @@
  * @property voters number of voting replicas that the control group aims for
  * @property retryLimits limits of the retries to each service over all hosts
  * @property metricsPort port on which metrics are served, `null` for none
+ * @property features optional parts of scheduling that are on
  */
 public data class ControlProcessSettings(
     val address: String,
@@ -83,7 +85,8 @@
     val voters: Int,
     val quotaTolerance: QuotaTolerance,
     val retryLimits: RetryLimits,
-    val metricsPort: Int? = null
+    val metricsPort: Int? = null,
+    val features: SchedulingFeatures = SchedulingFeatures.NONE
 )
 
 /** The event loop, clock and log that the tasks of one process share. */
@@ -156,7 +159,8 @@
             isFirstStart = settings.isFirstStart,
             voters = settings.voters,
             quotaTolerance = settings.quotaTolerance,
-            retryLimits = settings.retryLimits
+            retryLimits = settings.retryLimits,
+            features = settings.features
         ),
         loop = context.loop,
         openFolder = { DiskFolder(settings.dataFolder) },
--- a/daemon/src/main/kotlin/io/primroseflow/daemon/control/ControlHost.kt
+++ b/daemon/src/main/kotlin/io/primroseflow/daemon/control/ControlHost.kt
@@ -38,6 +38,7 @@
 import io.primroseflow.daemon.storage.ReplicaStorage
 import io.primroseflow.daemon.storage.StorageError
 import io.primroseflow.fleet.QuotaTolerance
+import io.primroseflow.fleet.SchedulingFeatures
 import io.primroseflow.limits.RetryLimits
 import io.primroseflow.model.DataCentreId
 import io.primroseflow.model.HostId
@@ -75,6 +76,7 @@
  *   seeds form a new group
  * @property voters target number of voting replicas
  * @property retryLimits limits of the retries to each service over all hosts
+ * @property features optional parts of scheduling that are on
  */
 internal data class ControlHostSettings(
     val address: String,
@@ -84,7 +86,8 @@
     val isFirstStart: Boolean,
     val voters: Int,
     val quotaTolerance: QuotaTolerance,
-    val retryLimits: RetryLimits
+    val retryLimits: RetryLimits,
+    val features: SchedulingFeatures = SchedulingFeatures.NONE
 )
 
 /**
@@ -287,7 +290,8 @@
                 clock,
                 settings.quotaTolerance,
                 settings.retryLimits,
-                log
+                log,
+                settings.features
             )
         private val poller: DirectoryPoller = DirectoryPoller(
             directory = directory,
--- a/daemon/src/main/kotlin/io/primroseflow/daemon/entry/EntryHost.kt
+++ b/daemon/src/main/kotlin/io/primroseflow/daemon/entry/EntryHost.kt
@@ -25,6 +25,7 @@
 import io.primroseflow.daemon.target.TargetConnectionPool
 import io.primroseflow.daemon.target.TargetExchanger
 import io.primroseflow.fleet.HostRates
+import io.primroseflow.fleet.SchedulingFeatures
 import io.primroseflow.limits.RetryLimits
 import io.primroseflow.model.DataCentreId
 import io.primroseflow.model.HostId
@@ -71,6 +72,9 @@
  * @property retryLimits limits of the retries to each service
  * @property quotaWindow length of the sliding window in which quotas limit the usage
  * @property metricsPort port at which metrics are served, `null` for none
+ * @property features optional parts of scheduling that are on
+ * @property boundsSlowCallers whether a host holds a bounded part of the answers that its callers do
+ *   not read, instead of reading no more from the targets
  */
 public data class EntryHostSettings(
     val address: String,
@@ -83,7 +87,9 @@
     val grace: Duration,
     val retryLimits: RetryLimits,
     val quotaWindow: Duration,
-    val metricsPort: Int? = null
+    val metricsPort: Int? = null,
+    val features: SchedulingFeatures = SchedulingFeatures.NONE,
+    val boundsSlowCallers: Boolean = false
 )
 
 /** Accepts requests of callers, relays them to targets and keeps its policy up to date. */
@@ -114,6 +120,7 @@
         log,
         rates,
         random,
+        settings.features,
         conditions = { conditions.current }
     )
     private val policy = RoutedPolicyInForce(decoder, log, ::onPolicy)
--- a/daemon/src/main/kotlin/io/primroseflow/daemon/entry/SlotClient.kt
+++ b/daemon/src/main/kotlin/io/primroseflow/daemon/entry/SlotClient.kt
@@ -21,6 +21,7 @@
 import io.primroseflow.fleet.HostRates
 import io.primroseflow.fleet.PartQuarantine
 import io.primroseflow.fleet.QuotaTolerance
+import io.primroseflow.fleet.SchedulingFeatures
 import io.primroseflow.fleet.SlotDecision
 import io.primroseflow.fleet.SlotEnd
 import io.primroseflow.fleet.SlotRefusal
@@ -58,6 +59,7 @@
  * @param retryLimits limits of the retries to each service over all hosts
  * @param rates rates that targets have stated
  * @param random must differ from that of every former process of this host
+ * @param features optional parts of scheduling that are on
  * @param conditions returns the conditions of the targets that are not in service
  */
 internal class SlotClient(
@@ -68,6 +70,7 @@
     private val log: EventLog,
     private val rates: HostRates,
     random: Random,
+    private val features: SchedulingFeatures = SchedulingFeatures.NONE,
     private val conditions: () -> Map<TargetId, TargetCondition>
 ) {
     /** A request; the scheduler of [knownTerm] knows it, none if that is 0. */
@@ -93,7 +96,8 @@
 
     /** Term of the scheduler that this host has reported its evidence to, 0 if none. */
     private var evidenceTerm = 0L
-    private var localScheduler: FleetScheduler? = FleetScheduler(quarantine = quarantine)
+    private var localScheduler: FleetScheduler? =
+        FleetScheduler(quarantine = quarantine, features = features)
     private var policy: RoutedPolicy? = null
     private var isRefusing = false
 
@@ -251,7 +255,8 @@
             retryLimits = retryLimits,
             neededSlots = neededSlots(),
             quarantine = quarantine,
-            turns = RateTurns(share.hosts, share.index, schedulerEpoch, from = now + HOST_TIMEOUT)
+            turns = RateTurns(share.hosts, share.index, schedulerEpoch, from = now + HOST_TIMEOUT),
+            features = features
         )
         policy?.let { scheduler.updatePolicy(it, now) }
         scheduler.updateQuotaFractions(quotaFractions(share, now), now)
--- a/daemon/src/main/kotlin/io/primroseflow/daemon/fleet/SharedScheduler.kt
+++ b/daemon/src/main/kotlin/io/primroseflow/daemon/fleet/SharedScheduler.kt
@@ -20,6 +20,7 @@
 import io.primroseflow.fleet.HostHoldings
 import io.primroseflow.fleet.PartQuarantine
 import io.primroseflow.fleet.QuotaTolerance
+import io.primroseflow.fleet.SchedulingFeatures
 import io.primroseflow.fleet.SlotDecision
 import io.primroseflow.fleet.SlotRefusal
 import io.primroseflow.fleet.SlotTicket
@@ -83,7 +84,8 @@
     private val clock: Clock,
     private val tolerance: QuotaTolerance,
     private val retryLimits: RetryLimits,
-    private val log: EventLog
+    private val log: EventLog,
+    private val features: SchedulingFeatures = SchedulingFeatures.NONE
 ) {
     private class HostEntry(val heardAt: Instant, val report: PeerMessage.HostReport) {
         var isAttached = true
@@ -367,7 +369,11 @@
         shares = null
         pendingReports.clear()
         val now = clock.now()
-        val fresh = FleetScheduler(tolerance = tolerance, retryLimits = retryLimits)
+        val fresh = FleetScheduler(
+            tolerance = tolerance,
+            retryLimits = retryLimits,
+            features = features
+        )
         policy.table?.let { fresh.updatePolicy(it.policy, now) }
         if (now - listedAt > TARGET_LIST_MAX_AGE) hasTargetList = false
         if (hasTargetList) fresh.updateTargets(targetList.targets, now)
