Report the paces of targets and learn prefill and decoding apart

Cause: answers of targets on shared machines state how long work takes there at present, which was ignored, and one factor for whole answers follows the mix of the kinds of requests as much as the speed of the target.

Costs of a prompt token, an output token and a call are learnt for each service and target, divided by the mean pace in force.

The bytes of a SlotEnded without paces equal those of the build before.

--- a/core/src/main/kotlin/io/primroseflow/fleet/EstimatedRequest.kt
+++ b/core/src/main/kotlin/io/primroseflow/fleet/EstimatedRequest.kt
@@ -12,15 +12,20 @@
  *
  * @property outputTokens expected length of the answer in tokens
  * @property nominalMillis expected time in a slot of a target of mean speed, in milliseconds
+ * @param promptMillis time of a target of mean speed for a prompt token, in milliseconds
  */
 internal class EstimatedRequest(
     val request: SlotRequest,
     val outputTokens: Int,
-    val nominalMillis: Double
+    val nominalMillis: Double,
+    promptMillis: Double = PREFILL_MILLIS_PER_TOKEN
 ) {
+    /** What was expected when the request was placed at a target, `null` before that. */
+    var placed: PlacedRequest? = null
+
     private val startDuration: Duration = (
         if (request.isStream) {
-            START_OVERHEAD_MILLIS + request.promptTokens * PREFILL_MILLIS_PER_TOKEN
+            START_OVERHEAD_MILLIS + request.promptTokens * promptMillis
         } else {
             nominalMillis
         }
--- a/core/src/main/kotlin/io/primroseflow/fleet/FleetScheduler.kt
+++ b/core/src/main/kotlin/io/primroseflow/fleet/FleetScheduler.kt
@@ -114,6 +114,12 @@
         return hasChanged
     }
 
+    /** Records the paces of targets that a host has [reported]. */
+    public fun updatePaces(reported: Map<TargetId, StatedPace>, now: Instant) {
+        if (reported.isEmpty()) return
+        services.values.forEach { it.targets.recordPaces(reported, now) }
+    }
+
     /** Digest of the rates in force, see [HostRates.digest]. */
     public val rateDigest: Int get() = pacing.digest
 
@@ -225,7 +231,7 @@
     /** Queues [request], whose quota is charged, or refuses it if it cannot be served in time. */
     private fun enqueue(request: SlotRequest, now: Instant): List<SlotDecision> {
         val service = stateOf(request.service)
-        val estimated = service.estimate(request)
+        val estimated = service.estimate(request, now)
         val refusal = refusalOrNull(service, estimated, now)
         if (refusal != null) {
             quotas.refund(request)
@@ -258,7 +264,7 @@
         val target = service.targets.findOrNull(done.target)
         target?.release(done.estimated)
         when (end) {
-            is SlotEnd.Served -> service.recordServed(target, done.request, end)
+            is SlotEnd.Served -> service.recordServed(target, done.estimated, end, now)
 
             is SlotEnd.NotRun -> when {
                 end.isUnreachable -> {
@@ -410,7 +416,7 @@
     }
 
     private fun stateOf(id: ServiceId) = services.getOrPut(id) {
-        ServiceState(conditions, quarantine, pacing)
+        ServiceState(conditions, quarantine, pacing, features)
     }
 
     private fun applyTargets() {
@@ -449,7 +455,8 @@
     /** Restores the slot that a host reports to hold, without a new grant. */
     private fun restore(slot: HeldSlot, now: Instant) {
         val service = stateOf(slot.request.service)
-        val estimated = service.queue.remove(slot.request.ticket) ?: service.estimate(slot.request)
+        val estimated =
+            service.queue.remove(slot.request.ticket) ?: service.estimate(slot.request, now)
         service.targets.findOrNull(slot.target)?.start(estimated)
         quarantine.onGranted(slot.request, slot.target, now)
         addRunning(slot.request.ticket, RunningRequest(estimated, slot.target, now))
--- a/core/src/main/kotlin/io/primroseflow/fleet/ServiceState.kt
+++ b/core/src/main/kotlin/io/primroseflow/fleet/ServiceState.kt
@@ -36,18 +36,23 @@
  * @param conditions what hosts report about targets
  * @param quarantine keeps requests apart that may end targets
  * @param pacing keeps targets within the rates that they have stated
+ * @param features optional parts of scheduling that are on
  */
 internal class ServiceState(
     conditions: ReportedConditions,
     quarantine: PartQuarantine,
-    pacing: TargetPacing
+    pacing: TargetPacing,
+    features: SchedulingFeatures = SchedulingFeatures.NONE
 ) {
-    val targets = ServiceTargets(conditions, quarantine, pacing)
+    val targets = ServiceTargets(conditions, quarantine, pacing, features.weighsPlacement)
     val queue = SlotRequestQueue()
 
     /** Moving average of the ratio of actual to nominal time that requests hold a slot. */
     private var durationRatio = 1.0
 
+    /** The same ratio for nominal times by the learnt costs of the service. */
+    private var placedRatio = 1.0
+
     /** Moving average of the duration of a call of a plain service, in milliseconds. */
     private var plainMillis = INITIAL_PLAIN_MILLIS
 
@@ -65,6 +70,9 @@
 
     private fun grantRateOf(rank: Int, now: Instant) = grantRates.getOrPut(rank) { GrantRate(now) }
 
+    /** Returns whether the targets of the service state their pace. */
+    fun advertisesPace(now: Instant): Boolean = targets.advertisePace(now)
+
     /** Starts measuring the grant rate of [rank] when a request of it is queued. */
     fun onWaiting(rank: Int, now: Instant) {
         grantRateOf(rank, now)
@@ -119,17 +127,25 @@
     }
 
     /** Estimates the work of [request] from its hint or, without one, from earlier answers. */
-    fun estimate(request: SlotRequest): EstimatedRequest {
+    fun estimate(request: SlotRequest, now: Instant): EstimatedRequest {
         if (!request.isStream) return EstimatedRequest(request, 0, plainMillis)
         val expected = request.outputHint
             ?: outputTokensByRoute[request.route]?.toInt()
             ?: INITIAL_OUTPUT_TOKENS
         val output = minOf(expected, request.outputLimit)
+        if (targets.weighsPlacement(now)) {
+            val millis = learntMillis(request, output) * placedRatio
+            return EstimatedRequest(request, output, millis, targets.costs.prompt.millisPerUnit)
+        }
         val millis = request.promptTokens * PREFILL_MILLIS_PER_TOKEN +
             output * DECODE_MILLIS_PER_TOKEN
         return EstimatedRequest(request, output, millis * durationRatio)
     }
 
+    private fun learntMillis(request: SlotRequest, outputTokens: Int): Double =
+        request.promptTokens * targets.costs.prompt.millisPerUnit +
+            outputTokens * targets.costs.output.millisPerUnit
+
     /**
      * Returns the expected wait of the new request [estimated] for a slot: the time to work off the
      * queue ahead of it, but no less than its rank's current grant rate implies, since requests of
@@ -154,12 +170,21 @@
         targets.paceWaitOrNull(request, queue.countAtOrAbove(request.rank) + 1, now)
 
     /** Updates the averages with an answer of [target], or of a target no longer known. */
-    fun recordServed(target: TargetState?, request: SlotRequest, end: SlotEnd.Served) {
+    fun recordServed(
+        target: TargetState?,
+        estimated: EstimatedRequest,
+        end: SlotEnd.Served,
+        now: Instant
+    ) {
+        val request = estimated.request
+        target?.work?.learn(estimated, end, now)
         val actual = end.totalMillis.toDouble()
         val nominal = if (request.isStream) {
             outputTokensByRoute.merge(request.route, end.outputTokens.toDouble()) { old, new ->
                 old + MOVING_AVERAGE_WEIGHT * (new - old)
             }
+            val learnt = learntMillis(request, end.outputTokens).coerceAtLeast(1.0)
+            placedRatio += MOVING_AVERAGE_WEIGHT * (actual / learnt - placedRatio)
             request.promptTokens * PREFILL_MILLIS_PER_TOKEN +
                 end.outputTokens * DECODE_MILLIS_PER_TOKEN
         } else {
--- a/core/src/main/kotlin/io/primroseflow/fleet/ServiceTargets.kt
+++ b/core/src/main/kotlin/io/primroseflow/fleet/ServiceTargets.kt
@@ -11,17 +11,22 @@
 /** Rate in requests a second by which waits are estimated at targets that take next to none. */
 private const val MIN_WAIT_RATE = 0.25
 
+/** Time after the latest stated pace for which the targets of a service count as stating paces. */
+private val ADVERTISED_PERIOD: Duration = 10.seconds
+
 /**
  * The targets of one service.
  *
  * @param conditions what hosts report about targets
  * @param quarantine keeps requests apart that may end targets
  * @param pacing keeps targets within the rates that they have stated
+ * @param weighsPlacement whether targets are compared by [Placement] even if they state no paces
  */
 internal class ServiceTargets(
     private val conditions: ReportedConditions,
     private val quarantine: PartQuarantine,
-    private val pacing: TargetPacing
+    private val pacing: TargetPacing,
+    private val weighsPlacement: Boolean = false
 ) {
     private val states = LinkedHashMap<TargetId, TargetState>()
 
@@ -30,6 +35,10 @@
 
     val all: Collection<TargetState> get() = states.values
 
+    /** Learnt costs of the work of the service. */
+    val costs = ServiceCosts()
+    private var paceStatedAt = Instant.DISTANT_PAST
+
     fun findOrNull(id: TargetId): TargetState? = states[id]
 
     /**
@@ -55,8 +64,29 @@
         return added.map(states::getValue)
     }
 
-    private fun newState(target: FleetTarget, slots: Map<TargetId, Int>) =
-        TargetState(target, slots[target.id] ?: 0, conditions, quarantine, pacing)
+    private fun newState(target: FleetTarget, slots: Map<TargetId, Int>) = TargetState(
+        target,
+        slots[target.id] ?: 0,
+        conditions,
+        quarantine,
+        pacing,
+        TargetWork(TargetSpeed(costs))
+    )
+
+    /** Records the [paces] that these targets have stated. */
+    fun recordPaces(paces: Map<TargetId, StatedPace>, now: Instant) {
+        for ((id, stated) in paces) {
+            val state = states[id] ?: continue
+            state.work.speed.pace.record(stated, now)
+            paceStatedAt = maxOf(paceStatedAt, stated.at)
+        }
+    }
+
+    /** Returns whether targets have stated their pace lately. */
+    fun advertisePace(now: Instant): Boolean = now - paceStatedAt <= ADVERTISED_PERIOD
+
+    /** Returns whether targets are compared by [Placement]. */
+    fun weighsPlacement(now: Instant): Boolean = weighsPlacement || advertisePace(now)
 
     /** Returns the target that is expected to finish [estimated] first, or `null` if none fits. */
     fun chooseOrNull(estimated: EstimatedRequest, now: Instant): TargetState? {
--- a/core/src/main/kotlin/io/primroseflow/fleet/TargetNotice.kt
+++ b/core/src/main/kotlin/io/primroseflow/fleet/TargetNotice.kt
@@ -9,11 +9,13 @@
  * @property restFor time for which the target takes no requests of the receiver, `null` if not
  *   stated
  * @property rate how many requests the target takes from all hosts together
+ * @property load load of the target, `null` if not stated
  */
 public data class TargetNotice(
     val isLeaving: Boolean,
     val restFor: Duration?,
-    val rate: RateNotice = RateNotice.None
+    val rate: RateNotice = RateNotice.None,
+    val load: TargetLoad? = null
 ) {
     public companion object {
         /** The notice of an answer that states nothing about its target. */
--- a/core/src/main/kotlin/io/primroseflow/fleet/TargetState.kt
+++ b/core/src/main/kotlin/io/primroseflow/fleet/TargetState.kt
@@ -53,7 +53,7 @@
 internal const val DECODE_MILLIS_PER_TOKEN = 3.2
 
 /** Slowdown of a target whose slots are all taken, as a fraction of its time when idle. */
-private const val FULL_LOAD_SLOWDOWN = 0.3
+internal const val FULL_LOAD_SLOWDOWN = 0.3
 
 /** Shortest time between two requests of hosts that return to a target after its rest. */
 internal val RETURN_INTERVAL: Duration = 25.milliseconds
@@ -71,13 +71,15 @@
  * @param conditions what hosts report about the target
  * @param quarantine keeps requests apart that may end targets
  * @param pacing keeps the target within the rate that it has stated
+ * @property work what was placed at the target, and how fast it works
  */
 internal class TargetState(
     target: FleetTarget,
     var slotLimit: Int,
     private val conditions: ReportedConditions,
     private val quarantine: PartQuarantine,
-    private val pacing: TargetPacing
+    private val pacing: TargetPacing,
+    val work: TargetWork
 ) {
     var target: FleetTarget = target
         set(value) {
@@ -89,6 +91,9 @@
     var inFlight: Int = 0
         private set
 
+    /** Fraction of the slots that are in use. */
+    val load: Double get() = inFlight.toDouble() / slotLimit.coerceAtLeast(1)
+
     /** KV cache tokens that the requests in flight are expected to occupy. */
     var tokensInFlight: Long = 0
         private set
@@ -189,15 +194,16 @@
 
     /** Adds the prefill of [estimated] to the prompts that the target has yet to prefill. */
     fun beginPrefill(estimated: EstimatedRequest, now: Instant) {
+        val uncached = uncachedTokens(estimated.request)
+        work.begin(estimated, uncached, now)
         if (!estimated.request.isStream) return
-        val time = (
-            uncachedTokens(estimated.request) * PREFILL_MILLIS_PER_TOKEN * slowness
-            ).milliseconds
+        val time = (uncached * PREFILL_MILLIS_PER_TOKEN * slowness).milliseconds
         prefillDoneAt = maxOf(prefillDoneAt, now) + time
     }
 
     /** Frees the slot of [estimated]. */
     fun release(estimated: EstimatedRequest) {
+        work.end(estimated)
         inFlight--
         tokensInFlight -= estimated.kvTokens
         if (inFlight == 0) prefillDoneAt = Instant.DISTANT_PAST
@@ -213,7 +219,6 @@
      * @param isRemote whether the request comes from another data centre
      */
     fun expectedMillis(estimated: EstimatedRequest, isRemote: Boolean, now: Instant): Double {
-        val load = inFlight.toDouble() / slotLimit.coerceAtLeast(1)
         val base = if (estimated.request.isStream) {
             // A prefill also delays the requests that are running beside it.
             uncachedTokens(estimated.request) * PREFILL_MILLIS_PER_TOKEN * (1 + inFlight) +
@@ -287,7 +292,7 @@
     fun cachedTokens(request: SlotRequest): Int = request.promptTokens - uncachedTokens(request)
 
     /** Returns the prompt tokens of [request] that follow its longest cached prefix. */
-    private fun uncachedTokens(request: SlotRequest): Int {
+    fun uncachedTokens(request: SlotRequest): Int {
         if (request.parts.isEmpty()) return request.promptTokens
         val cached = request.parts.takeWhile { it.id in cachedParts.keys }.sumOf { it.tokens }
         return (request.promptTokens - cached).coerceAtLeast(0)
--- a/daemon/src/main/kotlin/io/primroseflow/daemon/entry/EntryHost.kt
+++ b/daemon/src/main/kotlin/io/primroseflow/daemon/entry/EntryHost.kt
@@ -24,6 +24,7 @@
 import io.primroseflow.daemon.socket.EventLoop
 import io.primroseflow.daemon.target.TargetConnectionPool
 import io.primroseflow.daemon.target.TargetExchanger
+import io.primroseflow.fleet.HostPaces
 import io.primroseflow.fleet.HostRates
 import io.primroseflow.fleet.SchedulingFeatures
 import io.primroseflow.limits.RetryLimits
@@ -109,7 +110,8 @@
     private val lease = PolicyLease(settings.leaseDuration, clock, wallClock)
     private val metrics = EntryMetrics()
     private val rates = HostRates()
-    private val conditions = HostTargetConditions(clock, log, metrics, rates) {
+    private val paces = HostPaces()
+    private val conditions = HostTargetConditions(clock, log, metrics, rates, paces) {
         slots.onConditionsChanged()
     }
     private val slots: SlotClient = SlotClient(
@@ -121,6 +123,7 @@
         rates,
         random,
         settings.features,
+        paces,
         conditions = { conditions.current }
     )
     private val policy = RoutedPolicyInForce(decoder, log, ::onPolicy)
--- a/daemon/src/main/kotlin/io/primroseflow/daemon/entry/HostTargetConditions.kt
+++ b/daemon/src/main/kotlin/io/primroseflow/daemon/entry/HostTargetConditions.kt
@@ -2,6 +2,7 @@
 
 import io.primroseflow.daemon.EventLog
 import io.primroseflow.daemon.target.TargetConditionMonitor
+import io.primroseflow.fleet.HostPaces
 import io.primroseflow.fleet.HostRates
 import io.primroseflow.fleet.RateNotice
 import io.primroseflow.fleet.StatedRate
@@ -22,6 +23,7 @@
  * The conditions of targets as their answers to this host state them.
  *
  * @param rates rates that targets have stated
+ * @param paces paces that targets have stated
  * @param onChange called after the condition or the rate of a target has changed
  */
 internal class HostTargetConditions(
@@ -29,6 +31,7 @@
     private val log: EventLog,
     private val metrics: EntryMetrics,
     private val rates: HostRates,
+    private val paces: HostPaces = HostPaces(),
     private val onChange: () -> Unit
 ) : TargetConditionMonitor {
     private val table = TargetConditionTable()
@@ -53,6 +56,7 @@
         notice: TargetNotice
     ) {
         val now = clock.now()
+        notice.load?.pace?.let { paces.record(target, it, now) }
         recordRate(target, request, sentFor, notice.rate, now)
         val condition = table.record(target, notice, now) ?: return
         val rest = when (condition) {
--- a/daemon/src/main/kotlin/io/primroseflow/daemon/entry/SchedulerLink.kt
+++ b/daemon/src/main/kotlin/io/primroseflow/daemon/entry/SchedulerLink.kt
@@ -7,6 +7,7 @@
 import io.primroseflow.daemon.peer.QuarantineReport
 import io.primroseflow.daemon.peer.RateReport
 import io.primroseflow.daemon.peer.SlotRequestRecord
+import io.primroseflow.daemon.peer.StatedPaceRecord
 import io.primroseflow.daemon.peer.TargetConditionRecord
 import io.primroseflow.daemon.peer.firstNumberOfProcess
 import io.primroseflow.daemon.peer.machine
@@ -46,6 +47,7 @@
  * @property conditions conditions of the targets that are not in service for the host
  * @property rates what the host knows of the rates that targets have stated
  * @property quarantine what the host knows of requests that end targets
+ * @property paces paces of targets that have changed or were not reported lately
  */
 internal class ReportedRequests(
     val held: List<HeldSlotRecord>,
@@ -55,7 +57,8 @@
     val used: Map<TeamId, List<Long>> = emptyMap(),
     val conditions: List<TargetConditionRecord> = emptyList(),
     val rates: RateReport = RateReport(digest = 0),
-    val quarantine: QuarantineReport = QuarantineReport(digest = 0)
+    val quarantine: QuarantineReport = QuarantineReport(digest = 0),
+    val paces: List<StatedPaceRecord> = emptyList()
 ) {
     /** Whether there is no request to report. */
     val isEmpty: Boolean
@@ -201,7 +204,8 @@
             used = requests.used,
             conditions = requests.conditions,
             rates = requests.rates,
-            quarantine = requests.quarantine
+            quarantine = requests.quarantine,
+            paces = requests.paces
         )
         receivers.forEach { send(it, report) }
     }
--- a/daemon/src/main/kotlin/io/primroseflow/daemon/entry/SlotClient.kt
+++ b/daemon/src/main/kotlin/io/primroseflow/daemon/entry/SlotClient.kt
@@ -7,8 +7,10 @@
 import io.primroseflow.daemon.peer.PeerMessage
 import io.primroseflow.daemon.peer.QuarantineReport
 import io.primroseflow.daemon.peer.RateReport
+import io.primroseflow.daemon.peer.StatedPaceRecord
 import io.primroseflow.daemon.peer.digestOf
 import io.primroseflow.daemon.peer.firstNumberOfProcess
+import io.primroseflow.daemon.peer.toPaceRecords
 import io.primroseflow.daemon.peer.toRateRecords
 import io.primroseflow.daemon.peer.toRecord
 import io.primroseflow.daemon.peer.toRecords
@@ -18,6 +20,7 @@
 import io.primroseflow.fleet.FleetTarget
 import io.primroseflow.fleet.HeldSlot
 import io.primroseflow.fleet.HostHoldings
+import io.primroseflow.fleet.HostPaces
 import io.primroseflow.fleet.HostRates
 import io.primroseflow.fleet.PartQuarantine
 import io.primroseflow.fleet.QuotaTolerance
@@ -60,6 +63,7 @@
  * @param rates rates that targets have stated
  * @param random must differ from that of every former process of this host
  * @param features optional parts of scheduling that are on
+ * @param paces paces that targets have stated
  * @param conditions returns the conditions of the targets that are not in service
  */
 internal class SlotClient(
@@ -71,6 +75,7 @@
     private val rates: HostRates,
     random: Random,
     private val features: SchedulingFeatures = SchedulingFeatures.NONE,
+    private val paces: HostPaces = HostPaces(),
     private val conditions: () -> Map<TargetId, TargetCondition>
 ) {
     /** A request; the scheduler of [knownTerm] knows it, none if that is 0. */
@@ -136,8 +141,10 @@
         val scheduler = localScheduler
         if (scheduler == null) {
             entry.knownTerm = link.term
-            link.sendToScheduler(PeerMessage.Wish(link.term, request.toRecord(clock.now())))
+            val record = request.toRecord(clock.now())
+            link.sendToScheduler(PeerMessage.Wish(link.term, record, unreportedPaces()))
         } else {
+            scheduler.updatePaces(paces.takeUnreported(clock.now()), clock.now())
             deliver(scheduler.submit(request, clock.now()))
         }
         var isAnswered = false
@@ -165,12 +172,19 @@
         val scheduler = localScheduler
         if (scheduler == null) {
             quarantine.onEnded(ticket, end, clock.now())
-            link.sendToScheduler(PeerMessage.SlotEnded(link.term, ticket.number, end))
+            val ended = PeerMessage.SlotEnded(link.term, ticket.number, end, unreportedPaces())
+            link.sendToScheduler(ended)
         } else {
+            scheduler.updatePaces(paces.takeUnreported(clock.now()), clock.now())
             deliver(scheduler.release(ticket, end, clock.now()))
         }
     }
 
+    private fun unreportedPaces(): List<StatedPaceRecord> {
+        val now = clock.now()
+        return paces.takeUnreported(now).toPaceRecords(now)
+    }
+
     /** Applies [policy] to the local scheduler, if one is in use or started later. */
     fun onPolicy(policy: RoutedPolicy) {
         this.policy = policy
@@ -224,6 +238,7 @@
      */
     fun onAttached() {
         localScheduler = null
+        paces.onSchedulerChanged()
         quarantine.forgetQueued()
     }
 
@@ -267,6 +282,7 @@
         scheduler.updateConditions(self, conditions(), now)
         scheduler.updateRates(rates.current(now), now)
         scheduler.updateTargets(targets, now)
+        scheduler.updatePaces(paces.current(now), now)
         val slots = held.values.map { HeldSlot(it.request, it.target.id) }
         val holdings = HostHoldings(slots, waiting.values.map { it.request })
         deliver(scheduler.reconcile(self, holdings, now).decisions)
@@ -312,7 +328,9 @@
                 digest = digestOf(quarantine.quarantined),
                 evidence = if (hasNewEvidence) quarantine.records(now) else emptyList(),
                 common = if (hasNewEvidence) quarantine.commonParts else emptyList()
-            )
+            ),
+            // A report that goes to several hosts may reach none that schedules.
+            paces = if (isNew) emptyList() else unreportedPaces()
         )
     }
 
--- a/daemon/src/main/kotlin/io/primroseflow/daemon/fleet/SharedScheduler.kt
+++ b/daemon/src/main/kotlin/io/primroseflow/daemon/fleet/SharedScheduler.kt
@@ -11,6 +11,7 @@
 import io.primroseflow.daemon.peer.toHeldSlots
 import io.primroseflow.daemon.peer.toRateRecords
 import io.primroseflow.daemon.peer.toSlotRequest
+import io.primroseflow.daemon.peer.toStatedPaces
 import io.primroseflow.daemon.peer.toStatedRates
 import io.primroseflow.daemon.peer.toUsage
 import io.primroseflow.fleet.FleetScheduler
@@ -160,11 +161,13 @@
 
             is PeerMessage.Wish ->
                 if (isAttached(from, message.term)) {
+                    active.updatePaces(message.paces.toStatedPaces(now), now)
                     deliver(active.submit(message.request.toSlotRequest(from, now), now))
                 }
 
             is PeerMessage.SlotEnded ->
                 if (isAttached(from, message.term)) {
+                    active.updatePaces(message.paces.toStatedPaces(now), now)
                     deliver(active.release(SlotTicket(from, message.ticket), message.end, now))
                 }
 
@@ -326,6 +329,7 @@
         }
         active.updateConditions(from, report.conditions.toConditions(now), now)
         onRates(active, from, report)
+        active.updatePaces(report.paces.toStatedPaces(now), now)
         val holdings = HostHoldings(
             held = report.held.toHeldSlots(from, now),
             waiting = report.waiting.map { it.toSlotRequest(from, now) },
--- a/daemon/src/main/kotlin/io/primroseflow/daemon/peer/PeerMessages.kt
+++ b/daemon/src/main/kotlin/io/primroseflow/daemon/peer/PeerMessages.kt
@@ -230,6 +230,7 @@
      *   that does not know the quarantine
      * @property rates what the host knows of the rates that targets have stated; `null` from a host
      *   that does not know rates
+     * @property paces paces of targets that have changed or were not reported lately
      */
     @Serializable
     @SerialName("rpt")
@@ -246,7 +247,8 @@
         @SerialName("u") val used: Map<TeamId, List<Long>>,
         @SerialName("e") val conditions: List<TargetConditionRecord> = emptyList(),
         @SerialName("q") val quarantine: QuarantineReport? = null,
-        @SerialName("l") val rates: RateReport? = null
+        @SerialName("l") val rates: RateReport? = null,
+        @SerialName("v") val paces: List<StatedPaceRecord> = emptyList()
     ) : Scheduling
 
     /**
@@ -289,21 +291,31 @@
         @SerialName("c") val replicas: List<HostId>
     ) : Scheduling
 
-    /** Requests a slot. */
+    /**
+     * Requests a slot.
+     *
+     * @property paces paces of targets that have changed or were not reported lately
+     */
     @Serializable
     @SerialName("wsh")
     data class Wish(
         @SerialName("t") val term: Long,
-        @SerialName("w") val request: SlotRequestRecord
+        @SerialName("w") val request: SlotRequestRecord,
+        @SerialName("v") val paces: List<StatedPaceRecord> = emptyList()
     ) : Scheduling
 
-    /** The request with [ticket] has released its slot. */
+    /**
+     * The request with [ticket] has released its slot.
+     *
+     * @property paces paces of targets that have changed or were not reported lately
+     */
     @Serializable
     @SerialName("fin")
     data class SlotEnded(
         @SerialName("t") val term: Long,
         @SerialName("n") val ticket: Long,
-        @SerialName("e") val end: SlotEnd
+        @SerialName("e") val end: SlotEnd,
+        @SerialName("v") val paces: List<StatedPaceRecord> = emptyList()
     ) : Scheduling
 
     /** The request with [ticket] no longer waits for a slot. */
--- a/daemon/src/main/kotlin/io/primroseflow/daemon/peer/SchedulingRecords.kt
+++ b/daemon/src/main/kotlin/io/primroseflow/daemon/peer/SchedulingRecords.kt
@@ -6,6 +6,7 @@
 import io.primroseflow.fleet.PromptPart
 import io.primroseflow.fleet.SlotRequest
 import io.primroseflow.fleet.SlotTicket
+import io.primroseflow.fleet.StatedPace
 import io.primroseflow.fleet.StatedRate
 import io.primroseflow.fleet.TargetCondition
 import io.primroseflow.model.DataCentreId
@@ -14,6 +15,7 @@
 import io.primroseflow.model.TeamId
 import io.primroseflow.routing.RouteId
 import io.primroseflow.routing.ServiceId
+import kotlin.math.roundToInt
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Instant
@@ -32,6 +34,9 @@
 /** Largest usage of a team in one interval. */
 private const val MAX_INTERVAL_UNITS = 500_000_000L
 
+/** Paces in percent that are believed; targets differ by far less. */
+private val REPORTED_PERCENTS = 5..10_000
+
 /**
  * The encoded form of a [SlotRequest].
  *
@@ -100,6 +105,19 @@
     @SerialName("a") val ageMillis: Long
 )
 
+/**
+ * The encoded form of a [StatedPace].
+ *
+ * @property percent time that work takes at the target, in percent of the usual time
+ * @property ageMillis time since the statement in milliseconds
+ */
+@Serializable
+internal data class StatedPaceRecord(
+    @SerialName("t") val target: TargetId,
+    @SerialName("p") val percent: Int,
+    @SerialName("a") val ageMillis: Long
+)
+
 /**
  * What a host reports of the rates that targets have stated.
  *
@@ -172,6 +190,19 @@
         .filter { record -> record.perSecond?.let { it.isFinite() && it >= 0 } ?: true }
         .associate { it.target to StatedRate(it.perSecond, now - it.ageMillis.toAge()) }
 
+/** Returns the encoded form of these paces, sent at [now]. */
+internal fun Map<TargetId, StatedPace>.toPaceRecords(now: Instant): List<StatedPaceRecord> =
+    map { (target, stated) ->
+        val percent = (stated.pace * 100).roundToInt()
+        StatedPaceRecord(target, percent, (now - stated.at).inWholeMilliseconds)
+    }
+
+/** Returns the paces that were received at [now], without impossible ones. */
+internal fun List<StatedPaceRecord>.toStatedPaces(now: Instant): Map<TargetId, StatedPace> =
+    take(MAX_REPORTED_TARGETS)
+        .filter { it.percent in REPORTED_PERCENTS }
+        .associate { it.target to StatedPace(it.percent / 100.0, now - it.ageMillis.toAge()) }
+
 /** Returns this age in milliseconds, which is not negative. */
 private fun Long.toAge(): Duration = coerceAtLeast(0).milliseconds
 
--- a/daemon/src/test/kotlin/io/primroseflow/daemon/peer/SchedulingRecordsTest.kt
+++ b/daemon/src/test/kotlin/io/primroseflow/daemon/peer/SchedulingRecordsTest.kt
@@ -7,6 +7,7 @@
 import io.primroseflow.fleet.CrashRecord
 import io.primroseflow.fleet.PartRecord
 import io.primroseflow.fleet.SlotEnd
+import io.primroseflow.fleet.StatedPace
 import io.primroseflow.fleet.TargetCondition
 import io.primroseflow.model.DataCentreId
 import io.primroseflow.model.TargetId
@@ -30,6 +31,11 @@
     conditions = conditions
 )
 
+/** The bytes of a frame with a slot's end, as hosts that know no paces send and expect them. */
+private const val SLOT_ENDED_WITHOUT_PACES =
+    "82616da2626174a2666d696c6c69730167636f756e74657200686d6573736167657381826366696ea3" +
+        "617401616e0261658263637574a0"
+
 private fun sent(message: PeerMessage): PeerMessage {
     val frame = decodeFrame(encodeFrame(PeerFrame.Batch(HybridTime(1, 0), listOf(message))))
     return (frame as PeerFrame.Batch).messages.single()
@@ -60,6 +66,31 @@
             }
         }
 
+        describe("the paces of targets in a message") {
+            val now = Instant.fromEpochSeconds(1_000)
+            val paces = mapOf(TargetId("a") to StatedPace(0.68, now - 40.milliseconds))
+            val plain = PeerMessage.SlotEnded(term = 1, ticket = 2, end = SlotEnd.Cancelled)
+
+            it("are received as they were sent, with their age") {
+                val message = plain.copy(paces = paces.toPaceRecords(now))
+                val received = sent(message) as PeerMessage.SlotEnded
+                received.paces.toStatedPaces(now) shouldBe paces
+            }
+
+            // A deployment without paces must not send a byte more than before.
+            it("take no space if there are none") {
+                val frame = PeerFrame.Batch(HybridTime(1, 0), listOf(plain))
+                encodeFrame(frame).toHexString() shouldBe SLOT_ENDED_WITHOUT_PACES
+            }
+
+            it("that are impossible are ignored") {
+                val records = listOf(0, -68, 1_000_000).map {
+                    StatedPaceRecord(TargetId("a"), it, ageMillis = 0)
+                }
+                records.toStatedPaces(now) shouldBe emptyMap()
+            }
+        }
+
         describe("the evidence against prompt parts in a report") {
             val crash = CrashRecord(TargetId("a"), ageMillis = 5, requests = setOf("own"))
             val record = PartRecord("p", listOf(crash), credit = 1, isQuarantined = true)
