Choose targets by expected completion with learnt and stated speeds

Cause: the load of a target counted as up to 0.3 of its time, although the step of an engine hardly grows with its requests, other data centres cost 2 ms, and a target that would miss the goal of a request was as good as one that meets it.

Change: while a service's targets state paces, or with weighsPlacement, a request goes to the target with the least expected completion: earlier prefills, its own prefill, the delay that it causes beside it, decoding, and a penalty for another data centre that grows with the tokens sent there. Targets that miss the goal or the deadline come last.

--- a/core/src/main/kotlin/io/primroseflow/fleet/ServiceTargets.kt
+++ b/core/src/main/kotlin/io/primroseflow/fleet/ServiceTargets.kt
@@ -90,6 +90,9 @@
 
     /** Returns the target that is expected to finish [estimated] first, or `null` if none fits. */
     fun chooseOrNull(estimated: EstimatedRequest, now: Instant): TargetState? {
+        if (weighsPlacement(now)) {
+            return Placement.chooseOrNull(states.values, estimated, kvCapacity, now)
+        }
         var best: TargetState? = null
         var bestMillis = Double.POSITIVE_INFINITY
         for (state in states.values) {
