Let teams use the tolerance of their quota in bursts under shared shortage

Change: with sharesShortage the bucket holds the usable tolerance beside the burst. The window of the last 8 s still bounds the sum over all hosts. A takeover starts from a fraction of the burst alone, as before.

--- a/core/src/main/kotlin/io/primroseflow/fleet/FleetScheduler.kt
+++ b/core/src/main/kotlin/io/primroseflow/fleet/FleetScheduler.kt
@@ -61,7 +61,7 @@
     private val pacing = TargetPacing(turns)
     private val running = HashMap<SlotTicket, RunningRequest>()
     private val runningByHost = HashMap<HostId, HashMap<SlotTicket, RunningRequest>>()
-    private val quotas = TeamQuotas(tolerance)
+    private val quotas = TeamQuotas(tolerance, admitsBursts = features.sharesShortage)
     private val retryBudgets = HashMap<ServiceId, RetryBudget>()
     private var retriesAllowedSince = Instant.DISTANT_PAST
 
--- a/core/src/main/kotlin/io/primroseflow/fleet/QuotaTolerance.kt
+++ b/core/src/main/kotlin/io/primroseflow/fleet/QuotaTolerance.kt
@@ -36,7 +36,7 @@
         quota.allowedIn(window) + usableUnitsOf(quota)
 
     /** Returns the part of the tolerance to use, in units within [window]. */
-    private fun usableUnitsOf(quota: TeamQuota): Double {
+    internal fun usableUnitsOf(quota: TeamQuota): Double {
         val extra = ratio * quota.allowedIn(window) + units
         val heldBack = maxOf(takeoverBursts * quota.burst, MIN_HELD_BACK_FRACTION * extra)
         return (extra - heldBack).coerceAtLeast(0.0)
--- a/core/src/main/kotlin/io/primroseflow/fleet/TeamQuotas.kt
+++ b/core/src/main/kotlin/io/primroseflow/fleet/TeamQuotas.kt
@@ -32,9 +32,21 @@
  * A token bucket for each team paces its requests. In addition, the usage of all hosts within the
  * tolerance's window never exceeds the quota and its tolerance, whatever earlier schedulers or
  * hosts on their own have granted, as long as the hosts have reported it by [recallUsage].
+ *
+ * @property admitsBursts whether a team may use the tolerance of its window at once. The bucket then
+ *   holds it beside the burst, so that a few large requests do not refuse those behind them although
+ *   the window has room
  */
-internal class TeamQuotas(private val tolerance: QuotaTolerance) {
-    private class Quota(val limit: TeamQuota, val fraction: Double, val bucket: TokenBucket)
+internal class TeamQuotas(
+    private val tolerance: QuotaTolerance,
+    var admitsBursts: Boolean = false
+) {
+    private class Quota(
+        val limit: TeamQuota,
+        val fraction: Double,
+        val burst: Double,
+        val bucket: TokenBucket
+    )
 
     private class DetachedHost(val since: Instant, val rates: Map<TeamId, Double>)
 
@@ -66,17 +78,20 @@
             val fraction = fractionOf(team.id, limit)
             val rate = tolerance.refillRateOf(limit) * fraction -
                 detached.values.sumOf { it.rates[team.id] ?: 0.0 }
-            val burst = limit.burst * fraction
+            val burst = (limit.burst + burstToleranceOf(limit)) * fraction
             val minRate = limit.perSecond * fraction * MIN_ATTACHED_FRACTION
             val bucket = quotas[team.id]?.bucket ?: TokenBucket(rate, burst, now)
             bucket.reconfigure(maxOf(rate, minRate), burst, now)
-            quotas[team.id] = Quota(limit, fraction, bucket)
+            quotas[team.id] = Quota(limit, fraction, burst, bucket)
         }
     }
 
-    /** Lowers the level of each bucket to at most [fraction] of its burst. */
+    private fun burstToleranceOf(limit: TeamQuota): Double =
+        if (admitsBursts) tolerance.usableUnitsOf(limit) else 0.0
+
+    /** Lowers the level of each bucket to at most [fraction] of its team's burst. */
     fun capLevels(fraction: Double, now: Instant) {
-        quotas.values.forEach { it.bucket.capLevel(fraction, now) }
+        quotas.values.forEach { it.bucket.capLevel(fraction * it.shareOfBurst(), now) }
     }
 
     /**
@@ -136,11 +151,15 @@
         if (request.cost <= 0) return null
         if (!hasRoom(request, now)) return QUOTA_WINDOW_RETRY
         val cost = request.cost.toDouble()
-        val reserved = request.reservedFraction()
+        val reserved = request.reservedFraction() * quota.shareOfBurst()
         if (quota.bucket.tryTake(cost, now, reserved)) return null
         return quota.bucket.timeUntilAvailable(cost, now, reserved)
     }
 
+    /** Returns the team's burst without the tolerance, as a fraction of the size of its bucket. */
+    private fun Quota.shareOfBurst(): Double =
+        if (burst > 0) limit.burst * fraction / burst else 1.0
+
     /** Returns the charge of [request], which does not run. */
     fun refund(request: SlotRequest) {
         request.team?.let { quotas[it] }?.bucket?.refund(request.cost.toDouble())
--- a/core/src/test/kotlin/io/primroseflow/fleet/FleetFixture.kt
+++ b/core/src/test/kotlin/io/primroseflow/fleet/FleetFixture.kt
@@ -49,7 +49,7 @@
 )
 
 /** Creates requests of one host with distinct tickets. */
-class SlotRequests(private val host: HostId = HostId("h1")) {
+class SlotRequests(val host: HostId = HostId("h1")) {
     private var lastNumber = 0L
 
     fun next(
