Share a shortage of slots among ranks, teams and returning callers

Cause: with long requests of higher ranks above the slots, the short ones of the lowest rank were nearly all refused, a team far above its usual load displaced the others within a rank, and callers that returned at the time told competed with new requests.

Change, while SchedulingFeatures.sharesShortage is on: RankBalance compares the shares of the ranks over 10 s, TeamTurns serves the teams of a rank by weighted fair queueing over expected slot time, requests in time go before late ones, requests without a prospect are refused at arrival or as soon as that is known, and ReturnPlaces keeps places for refused callers and spreads their returns. AdmissionStatus counts all of it. With the switch off, the order and the refusals are as before.

--- a/core/src/main/kotlin/io/primroseflow/fleet/EstimatedRequest.kt
+++ b/core/src/main/kotlin/io/primroseflow/fleet/EstimatedRequest.kt
@@ -12,11 +12,13 @@
  *
  * @property outputTokens expected length of the answer in tokens
  * @property nominalMillis expected time in a slot of a target of mean speed, in milliseconds
+ * @property hasPlace whether its caller was told to return now, see [ReturnPlaces]
  */
 internal class EstimatedRequest(
     val request: SlotRequest,
     val outputTokens: Int,
-    val nominalMillis: Double
+    val nominalMillis: Double,
+    val hasPlace: Boolean = false
 ) {
     private val startDuration: Duration = (
         if (request.isStream) {
@@ -32,6 +34,25 @@
     /** Latest time of a grant for the answer to begin before the caller leaves. */
     val latestUsefulStart: Instant = minOf(request.startBy, request.deadline) - startDuration
 
+    /** Latest time of a grant that may still let the answer be of use. */
+    val latestUse: Instant = minOf(
+        latestUsefulStart,
+        request.deadline - (nominalMillis * MIN_DURATION_FRACTION).milliseconds
+    )
+
+    /**
+     * Whether the request goes ahead of others of its team. The work that another target has done for
+     * a retry would be lost with it, and [io.primroseflow.limits.RetryBudget] bounds the retries.
+     */
+    val hasPrecedence: Boolean get() = hasPlace || request.isRetry
+
+    /**
+     * Latest time of a grant in time. A retry continues an answer that is under way, whose goal has
+     * passed, so that only its caller's leave counts.
+     */
+    val inTimeUntil: Instant =
+        if (request.isRetry) latestUse else minOf(latestStartForGoal, latestUse)
+
     /** Returns the latest time of a grant for the goal or, if that has passed, for any use. */
     fun dueAt(now: Instant): Instant =
         if (latestStartForGoal >= now) latestStartForGoal else latestUsefulStart
@@ -42,7 +63,4 @@
 
 /** Returns `true` if a grant after [wait] may still let the answer be of use. */
 internal fun EstimatedRequest.isInTimeAfter(wait: Duration, now: Instant): Boolean =
-    now + wait <= minOf(
-        latestUsefulStart,
-        request.deadline - (nominalMillis * MIN_DURATION_FRACTION).milliseconds
-    )
+    now + wait <= latestUse
--- a/core/src/main/kotlin/io/primroseflow/fleet/FleetScheduler.kt
+++ b/core/src/main/kotlin/io/primroseflow/fleet/FleetScheduler.kt
@@ -62,6 +62,11 @@
     private val running = HashMap<SlotTicket, RunningRequest>()
     private val runningByHost = HashMap<HostId, HashMap<SlotTicket, RunningRequest>>()
     private val quotas = TeamQuotas(tolerance)
+    private val counters = AdmissionCounters()
+    private var tickedAt = Instant.DISTANT_PAST
+
+    /** Mean of the quotas per second, 1 if there are none. */
+    private var meanQuota = 1.0
     private val retryBudgets = HashMap<ServiceId, RetryBudget>()
     private var retriesAllowedSince = Instant.DISTANT_PAST
 
@@ -78,6 +83,8 @@
     public fun updatePolicy(policy: RoutedPolicy, now: Instant) {
         this.policy = policy
         routedServices = policy.services
+        meanQuota = policy.teams.values.mapNotNull { it.quota?.perSecond }.filter { it > 0 }
+            .average().takeIf { it > 0 } ?: 1.0
         quotas.update(policy.teams, { team, _ -> quotaFractionOf(team) }, now)
         applyTargets()
     }
@@ -199,8 +206,10 @@
         }
     }
 
-    private fun quarantined(request: SlotRequest) =
-        SlotDecision.Refuse(request.ticket, SlotRefusal.Quarantined, Duration.ZERO)
+    private fun quarantined(request: SlotRequest): SlotDecision {
+        counters.countRefusal(request.rank, SlotRefusal.Quarantined)
+        return SlotDecision.Refuse(request.ticket, SlotRefusal.Quarantined, Duration.ZERO)
+    }
 
     private fun submitAdmitted(request: SlotRequest, now: Instant): List<SlotDecision> {
         if (request.isRetry && !tryRetry(request.service, now)) {
@@ -225,15 +234,15 @@
     /** Queues [request], whose quota is charged, or refuses it if it cannot be served in time. */
     private fun enqueue(request: SlotRequest, now: Instant): List<SlotDecision> {
         val service = stateOf(request.service)
-        val estimated = service.estimate(request)
+        val plain = service.estimate(request)
+        val estimated = service.overload?.withPlace(plain, now) ?: plain
         val refusal = refusalOrNull(service, estimated, now)
         if (refusal != null) {
             quotas.refund(request)
             return listOf(refusal)
         }
         quarantine.onQueued(request, now)
-        service.queue.add(estimated)
-        service.onWaiting(request.rank, now)
+        service.add(estimated, now)
         return grantAll(service, now)
     }
 
@@ -246,7 +255,7 @@
 
     /** Removes the request of [ticket] from the queue of [service], if it is there. */
     private fun dequeue(service: ServiceState, ticket: SlotTicket, now: Instant) {
-        val removed = service.queue.remove(ticket) ?: return
+        val removed = service.remove(ticket) ?: return
         quotas.refund(removed.request)
         quarantine.onEnded(ticket, SlotEnd.Cancelled, now)
     }
@@ -378,12 +387,20 @@
      */
     public fun tick(now: Instant): List<SlotDecision> {
         val decisions = ArrayList<SlotDecision>()
+        tickedAt = now
         quotas.settleIfDue(now)
         pacing.expire(now)
         decisions += review(now)
         for (service in services.values) {
-            refuseLate(service, now, decisions)
-            decisions += grantAll(service, now)
+            val control = service.overload
+            if (control == null || pacing.isActive) {
+                refuseLate(service, now, decisions)
+                decisions += grantAll(service, now)
+            } else {
+                // Free slots go to the waiting requests before any of these are refused.
+                decisions += grantAll(service, now)
+                refuseHopeless(service, control, now, decisions)
+            }
         }
         return decisions
     }
@@ -392,7 +409,14 @@
     public fun status(): FleetStatus = FleetStatus(
         waiting = services.values.sumOf { it.queue.size } + delayed.size,
         running = running.size,
-        targets = services.values.sumOf { it.targets.all.size }
+        targets = services.values.sumOf { it.targets.all.size },
+        admission = admissionStatusOf(
+            counters,
+            services.values.mapNotNull {
+                it.overload
+            },
+            tickedAt
+        )
     )
 
     private fun quotaFractionOf(team: TeamId): Double =
@@ -410,9 +434,17 @@
     }
 
     private fun stateOf(id: ServiceId) = services.getOrPut(id) {
-        ServiceState(conditions, quarantine, pacing)
+        ServiceState(conditions, quarantine, pacing).also {
+            if (features.sharesShortage) it.shareShortage(newControl(), Instant.DISTANT_PAST)
+        }
     }
 
+    private fun newControl() = OverloadControl(counters, ::weightOf)
+
+    /** Returns the weight of [team] among others: its quota, or the mean quota if it has none. */
+    private fun weightOf(team: TeamId?): Double =
+        team?.let { policy?.teams?.get(it)?.quota?.perSecond }?.takeIf { it > 0 } ?: meanQuota
+
     private fun applyTargets() {
         val byService = listedTargets
             .map { if (conditions.isLeaving(it.id)) it.copy(isLeaving = true) else it }
@@ -449,7 +481,7 @@
     /** Restores the slot that a host reports to hold, without a new grant. */
     private fun restore(slot: HeldSlot, now: Instant) {
         val service = stateOf(slot.request.service)
-        val estimated = service.queue.remove(slot.request.ticket) ?: service.estimate(slot.request)
+        val estimated = service.remove(slot.request.ticket) ?: service.estimate(slot.request)
         service.targets.findOrNull(slot.target)?.start(estimated)
         quarantine.onGranted(slot.request, slot.target, now)
         addRunning(slot.request.ticket, RunningRequest(estimated, slot.target, now))
@@ -466,7 +498,7 @@
                 ?: break
             val (estimated, target) = choice
             val ticket = estimated.request.ticket
-            service.queue.remove(ticket)
+            service.remove(ticket)
             if (!quotas.hasRoom(estimated.request, now)) {
                 quarantine.onEnded(ticket, SlotEnd.Cancelled, now)
                 decisions += refusal(estimated.request, SlotRefusal.OverQuota, QUOTA_WINDOW_RETRY)
@@ -480,7 +512,7 @@
             target.start(estimated)
             quarantine.onGranted(estimated.request, target.target.id, now)
             addRunning(ticket, RunningRequest(estimated, target.target.id, now))
-            service.onGrant(estimated.request.rank, now)
+            service.onGrant(estimated, now)
             decisions += SlotDecision.Grant(ticket, target.target)
         }
         return decisions
@@ -519,8 +551,24 @@
         val paceWait = service.paceWaitOrNull(request, now)
         val wait = paceWait ?: service.expectedWait(estimated, now)
         if (estimated.isInTimeAfter(wait, now)) return null
-        service.onShed(request.rank, now)
-        return refusal(request, reasonOf(paceWait), wait)
+        val isShared = service.sharesShortage
+        if (isShared && service.targets.chooseOrNull(estimated, now) != null) return null
+        return shed(service, estimated, paceWait, wait, now)
+    }
+
+    /** Returns the refusal of [estimated], which would wait too long for a slot. */
+    private fun shed(
+        service: ServiceState,
+        estimated: EstimatedRequest,
+        paceWait: Duration?,
+        wait: Duration,
+        now: Instant
+    ): SlotDecision {
+        service.onShed(estimated, now)
+        val request = estimated.request
+        val refusal = refusal(request, reasonOf(paceWait), wait)
+        val control = service.overload ?: return refusal
+        return refusal.copy(retryAfter = control.returnTime(request, now))
     }
 
     /** Refuses the waiting requests that would get a slot too late at the current grant rate. */
@@ -543,16 +591,34 @@
             positions[request.rank] = position - 1
             staying--
             dequeue(service, request.ticket, now)
-            service.onShed(request.rank, now)
-            decisions += refusal(request, reasonOf(paceWait), wait)
+            decisions += shed(service, estimated, paceWait, wait, now)
+        }
+    }
+
+    /** Refuses the late requests that other late ones leave no slot, see [OverloadControl]. */
+    private fun refuseHopeless(
+        service: ServiceState,
+        control: OverloadControl,
+        now: Instant,
+        decisions: MutableList<SlotDecision>
+    ) {
+        for ((estimated, wait) in service.hopeless(control, now)) {
+            dequeue(service, estimated.request.ticket, now)
+            decisions += shed(service, estimated, paceWait = null, wait, now)
         }
     }
 
     private fun reasonOf(paceWait: Duration?): SlotRefusal =
         if (paceWait == null) SlotRefusal.TooLate else SlotRefusal.RateLimited
 
-    private fun refusal(request: SlotRequest, reason: SlotRefusal, wait: Duration): SlotDecision =
-        SlotDecision.Refuse(request.ticket, reason, maxOf(wait, MIN_RETRY_AFTER))
+    private fun refusal(
+        request: SlotRequest,
+        reason: SlotRefusal,
+        wait: Duration
+    ): SlotDecision.Refuse {
+        counters.countRefusal(request.rank, reason)
+        return SlotDecision.Refuse(request.ticket, reason, maxOf(wait, MIN_RETRY_AFTER))
+    }
 
     private companion object {
         /** Time after which a request to a service without targets may be retried. */
--- a/core/src/main/kotlin/io/primroseflow/fleet/HostHoldings.kt
+++ b/core/src/main/kotlin/io/primroseflow/fleet/HostHoldings.kt
@@ -8,8 +8,14 @@
  * @property waiting number of waiting requests
  * @property running number of slots in use
  * @property targets number of targets of all services
+ * @property admission counters and shares by rank
  */
-public data class FleetStatus(val waiting: Int, val running: Int, val targets: Int)
+public data class FleetStatus(
+    val waiting: Int,
+    val running: Int,
+    val targets: Int,
+    val admission: AdmissionStatus = AdmissionStatus()
+)
 
 /** A slot that a host reports to hold: the [request] it was granted for and its [target]. */
 public data class HeldSlot(val request: SlotRequest, val target: TargetId)
--- a/core/src/main/kotlin/io/primroseflow/fleet/ServiceState.kt
+++ b/core/src/main/kotlin/io/primroseflow/fleet/ServiceState.kt
@@ -45,6 +45,13 @@
     val targets = ServiceTargets(conditions, quarantine, pacing)
     val queue = SlotRequestQueue()
 
+    /** Order and refusals while [sharesShortage] is on, otherwise `null`. */
+    var overload: OverloadControl? = null
+        private set
+
+    /** Whether a shortage of slots is shared among ranks and teams. */
+    val sharesShortage: Boolean get() = overload != null
+
     /** Moving average of the ratio of actual to nominal time that requests hold a slot. */
     private var durationRatio = 1.0
 
@@ -66,14 +73,37 @@
     private fun grantRateOf(rank: Int, now: Instant) = grantRates.getOrPut(rank) { GrantRate(now) }
 
     /** Starts measuring the grant rate of [rank] when a request of it is queued. */
-    fun onWaiting(rank: Int, now: Instant) {
+    private fun onWaiting(rank: Int, now: Instant) {
         grantRateOf(rank, now)
     }
 
-    /** Records a grant to a request of [rank]. */
-    fun onGrant(rank: Int, now: Instant) {
-        grantRateOf(rank, now).onGrant(now)
+    /** Shares a shortage of slots by [control], which starts without counts, from [now] on. */
+    fun shareShortage(control: OverloadControl, now: Instant) {
+        overload = control
+        queue.all.forEach { control.add(it, now) }
+    }
+
+    /** Ends the sharing of a shortage. */
+    fun stopSharingShortage() {
+        overload = null
+    }
+
+    /** Queues [estimated]. */
+    fun add(estimated: EstimatedRequest, now: Instant) {
+        queue.add(estimated)
+        onWaiting(estimated.request.rank, now)
+        overload?.add(estimated, now)
+    }
+
+    /** Removes the request of [ticket] from the queue and returns it, or `null`. */
+    fun remove(ticket: SlotTicket): EstimatedRequest? =
+        queue.remove(ticket)?.also { overload?.remove(it) }
+
+    /** Records a grant to [estimated]. */
+    fun onGrant(estimated: EstimatedRequest, now: Instant) {
+        grantRateOf(estimated.request.rank, now).onGrant(now)
         overallGrantRate.onGrant(now)
+        overload?.onGrant(estimated, now)
     }
 
     /** Records that targets that rest hold up the requests of [rank]. */
@@ -81,13 +111,15 @@
         grantRates[rank]?.restartIfIdle(now)
     }
 
-    /** Records that a request of [rank] was refused for lack of slots. */
-    fun onShed(rank: Int, now: Instant) {
-        lastShedAt[rank] = now
+    /** Records that [estimated] was refused for lack of slots. */
+    fun onShed(estimated: EstimatedRequest, now: Instant) {
+        lastShedAt[estimated.request.rank] = now
+        overload?.onLost(estimated, now)
     }
 
     /** Returns the request that gets the next slot, or `null` if none waits. */
     fun nextOrNull(now: Instant): EstimatedRequest? {
+        overload?.nextOrNull(now)?.let { return it }
         lastShedAt.values.removeIf { now - it > SHED_PROTECTION }
         val lowestRank = lastShedAt.firstEntry()?.key ?: Int.MAX_VALUE
         return queue.nextOrNull(now, overallGrantRate.expectedTime(1, now), lowestRank)
@@ -101,17 +133,28 @@
         val spare = first.dueAt(now) - now - overallGrantRate.expectedTime(2, now)
         if (spare < REUSE_MARGIN) return first
         val least = target.cachedTokens(first.request) + MIN_REUSED_TOKENS
-        return queue.inOrder(now)
+        overload?.let { control ->
+            return bestCached(target, first, least, control.inTimeOf(first.request.rank), now)
+        }
+        val waiting = queue.inOrder(now)
             .takeWhile { it.request.rank <= first.request.rank }
             .filter { it.request.rank == first.request.rank }
-            .take(REUSE_DEPTH)
-            .filter {
-                target.cachedTokens(it.request) >= least &&
-                    target.canStart(it, targets.kvCapacity, now)
-            }
-            .maxByOrNull { target.cachedTokens(it.request) } ?: first
+        return bestCached(target, first, least, waiting, now)
     }
 
+    private fun bestCached(
+        target: TargetState,
+        first: EstimatedRequest,
+        least: Int,
+        waiting: Sequence<EstimatedRequest>,
+        now: Instant
+    ): EstimatedRequest = waiting.take(REUSE_DEPTH)
+        .filter {
+            target.cachedTokens(it.request) >= least &&
+                target.canStart(it, targets.kvCapacity, now)
+        }
+        .maxByOrNull { target.cachedTokens(it.request) } ?: first
+
     /** Returns the expected wait for a slot at [position], from 1, in the queue of [rank]. */
     fun waitAtPosition(rank: Int, position: Int, now: Instant): Duration = when {
         position < MIN_QUEUE_FOR_RATE -> Duration.ZERO
@@ -138,7 +181,10 @@
      */
     fun expectedWait(estimated: EstimatedRequest, now: Instant): Duration {
         val request = estimated.request
-        val slots = targets.usableSlots(estimated.nominalMillis, now).coerceAtLeast(1.0)
+        val slots = usableSlots(estimated, now)
+        overload?.let {
+            return maxOf(it.expectedWait(estimated, slots, now), targets.restWait(request, now))
+        }
         val queueDrainTime = (queue.queuedMillisAtOrAbove(request.rank) / slots).milliseconds
         val waiting = queue.countOf(request.rank)
         val leastWait = maxOf(queueDrainTime, targets.restWait(request, now))
@@ -146,6 +192,21 @@
         return maxOf(leastWait, grantRateOf(request.rank, now).expectedTime(waiting, now))
     }
 
+    private fun usableSlots(estimated: EstimatedRequest, now: Instant): Double =
+        targets.usableSlots(estimated.nominalMillis, now).coerceAtLeast(1.0)
+
+    /**
+     * Returns the late requests that are not expected to get a slot before their caller leaves, with
+     * the time until that slot.
+     */
+    fun hopeless(control: OverloadControl, now: Instant): List<Pair<EstimatedRequest, Duration>> {
+        val late = control.lateWaits({ usableSlots(it, now) }, now)
+        return late.filterNot { (estimated, wait) ->
+            val leastWait = maxOf(wait, targets.restWait(estimated.request, now))
+            estimated.isInTimeAfter(leastWait, now)
+        }
+    }
+
     /**
      * Returns the wait of the new [request] if the rates of targets alone determine it, otherwise
      * `null`.
--- a/core/src/main/kotlin/io/primroseflow/fleet/SlotRequestQueue.kt
+++ b/core/src/main/kotlin/io/primroseflow/fleet/SlotRequestQueue.kt
@@ -27,6 +27,9 @@
 
     val size: Int get() = entries.size
 
+    /** All waiting requests, in no order. */
+    val all: Collection<EstimatedRequest> get() = entries.values
+
     operator fun contains(ticket: SlotTicket): Boolean = ticket in entries
 
     fun add(estimated: EstimatedRequest) {
