Bound the memory of a target by the limits of its requests

Cause: the KV cache of a target was counted by the expected length of answers, so that several long ones could overflow it, and each host on its own counted on the whole cache.

Change: under weighed placement a request occupies its prompt and its output limit, and a scheduler has its share of the cache by its share of the slots. An idle target still takes a request of any size.

--- a/core/src/main/kotlin/io/primroseflow/fleet/EstimatedRequest.kt
+++ b/core/src/main/kotlin/io/primroseflow/fleet/EstimatedRequest.kt
@@ -43,6 +43,9 @@
 
     /** Tokens that the request occupies in a KV cache when it completes. */
     val kvTokens: Long get() = (request.promptTokens + outputTokens).toLong()
+
+    /** Tokens that the request occupies in a KV cache if its answer has the full length. */
+    val limitTokens: Long get() = request.promptTokens.toLong() + request.outputLimit
 }
 
 /** Returns `true` if a grant after [wait] may still let the answer be of use. */
--- a/core/src/main/kotlin/io/primroseflow/fleet/Placement.kt
+++ b/core/src/main/kotlin/io/primroseflow/fleet/Placement.kt
@@ -1,5 +1,6 @@
 package io.primroseflow.fleet
 
+import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Instant
 
@@ -40,7 +41,7 @@
         var best: TargetState? = null
         var bestMillis = Double.POSITIVE_INFINITY
         for (state in states) {
-            if (!state.canStart(estimated, kvCapacity, now)) continue
+            if (!state.canStart(estimated, kvCapacity, now, isLimitCounted = true)) continue
             val millis = costMillis(state, estimated, now)
             val isBetter = millis < bestMillis ||
                 best != null && millis == bestMillis && state.inFlight < best.inFlight
@@ -52,7 +53,7 @@
     }
 
     /** Returns what [estimated] costs at [state] if it begins [now], in milliseconds. */
-    private fun costMillis(state: TargetState, estimated: EstimatedRequest, now: Instant): Double {
+    fun costMillis(state: TargetState, estimated: EstimatedRequest, now: Instant): Double {
         val request = estimated.request
         val work = state.work
         val remote = remoteMillis(state, estimated)
@@ -68,6 +69,14 @@
             missPenalty(estimated, START_OVERHEAD_MILLIS + first, total, now)
     }
 
+    /** Returns the time from the first event of [estimated] to its goal if it starts at [begin]. */
+    fun goalSlack(state: TargetState, estimated: EstimatedRequest, begin: Instant): Duration {
+        val request = estimated.request
+        val prefill = state.work.prefillMillis(state.uncachedTokens(request), begin)
+        val first = START_OVERHEAD_MILLIS + state.work.prefillWaitMillis(begin) + prefill
+        return request.goal - begin - first.milliseconds
+    }
+
     private fun remoteMillis(state: TargetState, estimated: EstimatedRequest): Double {
         val request = estimated.request
         if (state.target.dataCentre == request.dataCentre) return 0.0
--- a/core/src/main/kotlin/io/primroseflow/fleet/ServiceTargets.kt
+++ b/core/src/main/kotlin/io/primroseflow/fleet/ServiceTargets.kt
@@ -106,6 +106,10 @@
         return best
     }
 
+    /** Returns `true` if [state] may start [estimated] now. */
+    fun canStart(state: TargetState, estimated: EstimatedRequest, now: Instant): Boolean =
+        state.canStart(estimated, kvCapacity, now, isLimitCounted = weighsPlacement(now))
+
     /** Returns `true` if any target may serve [request], now or once it has free capacity. */
     fun hasEligibleTarget(request: SlotRequest, now: Instant): Boolean =
         states.values.any { it.isEligible(request, now) }
--- a/core/src/main/kotlin/io/primroseflow/fleet/TargetState.kt
+++ b/core/src/main/kotlin/io/primroseflow/fleet/TargetState.kt
@@ -98,6 +98,9 @@
     var tokensInFlight: Long = 0
         private set
 
+    /** KV cache tokens that the requests in flight occupy if all answers have their full length. */
+    private var limitTokensInFlight = 0L
+
     /** Moving average of the ratio of actual to nominal answer time. */
     var slowness: Double = 1.0
         private set
@@ -135,15 +138,24 @@
      *
      * @param kvCapacity KV cache of the target in tokens, or `null` for no limit; an idle target
      * may start a request of any size
+     * @param isLimitCounted whether requests occupy their prompt and output limit, and a scheduler
+     * has its share of the KV cache, rather than the expected tokens and all of it
      */
-    fun canStart(estimated: EstimatedRequest, kvCapacity: Long?, now: Instant): Boolean {
+    fun canStart(
+        estimated: EstimatedRequest,
+        kvCapacity: Long?,
+        now: Instant,
+        isLimitCounted: Boolean = false
+    ): Boolean {
         val request = estimated.request
         if (!isEligible(request, now) || inFlight >= slotLimit) return false
         if (isProbing && inFlight > 0) return false
         if (isReturning(request, now) && now - lastReturnAt < RETURN_INTERVAL) return false
         if (pacing.timeUntilNext(target.id, now) > Duration.ZERO) return false
-        return kvCapacity == null || inFlight == 0 ||
-            tokensInFlight + estimated.kvTokens <= kvCapacity
+        if (kvCapacity == null || inFlight == 0) return true
+        if (!isLimitCounted) return tokensInFlight + estimated.kvTokens <= kvCapacity
+        val share = kvCapacity * slotLimit / target.slots.coerceAtLeast(1)
+        return limitTokensInFlight + estimated.limitTokens <= share
     }
 
     /** Returns `true` if the target may serve [request], now or once it has free capacity. */
@@ -189,6 +201,7 @@
     fun start(estimated: EstimatedRequest) {
         inFlight++
         tokensInFlight += estimated.kvTokens
+        limitTokensInFlight += estimated.limitTokens
         estimated.request.parts.forEach { cachedParts[it.id] = Unit }
     }
 
@@ -206,6 +219,7 @@
         work.end(estimated)
         inFlight--
         tokensInFlight -= estimated.kvTokens
+        limitTokensInFlight -= estimated.limitTokens
         if (inFlight == 0) prefillDoneAt = Instant.DISTANT_PAST
     }
 
