Let requests wait for busy targets that have cached most of their prompt

Cause: a request took any free slot at once although most of its prompt was cached at a target where a slot was about to become free. Each part that is prefilled again delays all requests beside it.

Change: such a request is set aside for a round of grants, so that the ones behind it get the free slots, as long as the expected wait is shorter than the prefill saved with its delay to others, and a slot like the free one would still meet its goal with a margin. Each further request that waits for a target expects a later slot, and a wait ends after the time that it could save. The same holds if a free target would miss the goal and a busy one would meet it. A request that waits by choice is neither refused nor counted for the wait of others.

--- a/core/src/main/kotlin/io/primroseflow/fleet/FleetScheduler.kt
+++ b/core/src/main/kotlin/io/primroseflow/fleet/FleetScheduler.kt
@@ -465,9 +465,12 @@
     /** Grants slots to the waiting requests of [service] for as long as any request fits. */
     private fun grantAll(service: ServiceState, now: Instant): List<SlotDecision> {
         val decisions = ArrayList<SlotDecision>()
+        service.waits.startRound(now)
         while (true) {
             val first = service.nextOrNull(now) ?: break
-            val choice = service.targets.chooseOrNull(first, now)
+            val free = service.targets.chooseOrNull(first, now)
+            if (free != null && service.trySetAside(first, free, now)) continue
+            val choice = free
                 ?.let { service.bestCachedAt(it, first, now) to it }
                 ?: backfillOrNull(service, now)
                 ?: break
@@ -490,6 +493,7 @@
             service.onGrant(estimated.request.rank, now)
             decisions += SlotDecision.Grant(ticket, target.target)
         }
+        service.queue.putBack()
         return decisions
     }
 
@@ -540,6 +544,7 @@
         var staying = 0
         for (estimated in service.queue.inOrder(now).toList()) {
             val request = estimated.request
+            if (request.ticket in service.waits) continue
             val position = positions.merge(request.rank, 1, Int::plus) ?: 1
             val rest = service.targets.restWait(request, now)
             if (rest > Duration.ZERO) service.onRest(request.rank, now)
--- a/core/src/main/kotlin/io/primroseflow/fleet/ServiceState.kt
+++ b/core/src/main/kotlin/io/primroseflow/fleet/ServiceState.kt
@@ -47,6 +47,9 @@
     val targets = ServiceTargets(conditions, quarantine, pacing, features.weighsPlacement)
     val queue = SlotRequestQueue()
 
+    /** Requests that leave free slots to others. */
+    val waits = PlacementWaits(targets)
+
     /** Moving average of the ratio of actual to nominal time that requests hold a slot. */
     private var durationRatio = 1.0
 
@@ -101,6 +104,17 @@
         return queue.nextOrNull(now, overallGrantRate.expectedTime(1, now), lowestRank)
     }
 
+    /**
+     * Sets [first] aside for this round of grants and returns `true` if it waits for a better target
+     * than [free].
+     */
+    fun trySetAside(first: EstimatedRequest, free: TargetState, now: Instant): Boolean {
+        if (!targets.weighsPlacement(now)) return false
+        val isWaiting = waits.tryWait(first, free, overallGrantRate.expectedTime(1, now), now)
+        if (isWaiting) queue.setAside(first)
+        return isWaiting
+    }
+
     /**
      * Returns the request that gets a slot at [target] instead of [first], of the same rank, if
      * much more of its prompt is cached there and [first] can wait for a further slot.
@@ -115,7 +129,7 @@
             .take(REUSE_DEPTH)
             .filter {
                 target.cachedTokens(it.request) >= least &&
-                    target.canStart(it, targets.kvCapacity, now)
+                    targets.canStart(target, it, now)
             }
             .maxByOrNull { target.cachedTokens(it.request) } ?: first
     }
@@ -156,7 +170,7 @@
         val request = estimated.request
         val slots = targets.usableSlots(estimated.nominalMillis, now).coerceAtLeast(1.0)
         val queueDrainTime = (queue.queuedMillisAtOrAbove(request.rank) / slots).milliseconds
-        val waiting = queue.countOf(request.rank)
+        val waiting = queue.countOf(request.rank) - waits.countOf(request.rank)
         val leastWait = maxOf(queueDrainTime, targets.restWait(request, now))
         if (waiting < MIN_QUEUE_FOR_RATE) return leastWait
         return maxOf(leastWait, grantRateOf(request.rank, now).expectedTime(waiting, now))
--- a/core/src/main/kotlin/io/primroseflow/fleet/SlotRequestQueue.kt
+++ b/core/src/main/kotlin/io/primroseflow/fleet/SlotRequestQueue.kt
@@ -25,22 +25,46 @@
     private val entries = HashMap<SlotTicket, EstimatedRequest>()
     private val ticketsByHost = HashMap<HostId, HashSet<SlotTicket>>()
 
+    /** Requests that are not in [byRank] until [putBack]. */
+    private val aside = ArrayList<EstimatedRequest>()
+
     val size: Int get() = entries.size
 
     operator fun contains(ticket: SlotTicket): Boolean = ticket in entries
 
     fun add(estimated: EstimatedRequest) {
-        val rank = estimated.request.rank
         entries[estimated.request.ticket] = estimated
         ticketsByHost.getOrPut(estimated.request.ticket.host) { HashSet() } +=
             estimated.request.ticket
-        byRank.getOrPut(rank) { TreeSet(order) }.add(estimated)
-        queuedMillisByRank.merge(rank, estimated.nominalMillis, Double::plus)
+        link(estimated)
+    }
+
+    private fun link(entry: EstimatedRequest) {
+        val rank = entry.request.rank
+        byRank.getOrPut(rank) { TreeSet(order) }.add(entry)
+        queuedMillisByRank.merge(rank, entry.nominalMillis, Double::plus)
+    }
+
+    /** Hides the waiting request [entry] until [putBack], so that the ones behind it move up. */
+    fun setAside(entry: EstimatedRequest) {
+        unlink(entry)
+        aside += entry
+    }
+
+    /** Returns the requests that were set aside to their places. */
+    fun putBack() {
+        aside.forEach(::link)
+        aside.clear()
     }
 
     fun remove(ticket: SlotTicket): EstimatedRequest? {
         val entry = entries.remove(ticket) ?: return null
         ticketsByHost[ticket.host]?.remove(ticket)
+        unlink(entry)
+        return entry
+    }
+
+    private fun unlink(entry: EstimatedRequest) {
         val rank = entry.request.rank
         val queue = byRank.getValue(rank)
         queue.remove(entry)
@@ -50,7 +74,6 @@
         } else {
             queuedMillisByRank.merge(rank, -entry.nominalMillis, Double::plus)
         }
-        return entry
     }
 
     /** Returns a lazy sequence of the requests in queue order. */
--- a/core/src/test/kotlin/io/primroseflow/fleet/PlacementTest.kt
+++ b/core/src/test/kotlin/io/primroseflow/fleet/PlacementTest.kt
@@ -106,6 +106,24 @@
             }
         }
 
+        describe("a fast target that dies") {
+            // The pace that it stated last must not go on attracting requests.
+            it("costs no more requests than without speeds") {
+                fun run(features: SchedulingFeatures, statesPace: Boolean): ReplayOutcome {
+                    val engines = engines()
+                    engines[0].diesAt = start + 3.seconds
+                    return PlacementReplay(
+                        engines,
+                        ReplayOptions(features, statesPace, perSecond = 60.0)
+                    ).run()
+                }
+                val before = run(SchedulingFeatures.NONE, statesPace = false)
+                val outcome = run(weighing, statesPace = true)
+                outcome.refused shouldBeLessThan before.refused + 3
+                outcome.inTimeShare shouldBeGreaterThanOrEqual 0.99
+            }
+        }
+
         describe("two data centres, one with three quarters of the requests") {
             fun run(features: SchedulingFeatures) = PlacementReplay(
                 engines { dataCentres[it / 3 % 2] },
