--- a/core/src/main/kotlin/io/primroseflow/fleet/ServiceState.kt
+++ b/core/src/main/kotlin/io/primroseflow/fleet/ServiceState.kt
@@ -54,6 +54,10 @@
     /** Whether a shortage of slots is shared among ranks and teams. */
     val sharesShortage: Boolean get() = overload != null
 
+    /** Requests that leave free slots to others. */
+    val waits = PlacementWaits(targets)
+    private val aside = ArrayList<EstimatedRequest>()
+
     /** Moving average of the ratio of actual to nominal time that requests hold a slot. */
     private var durationRatio = 1.0
 
@@ -133,6 +137,28 @@
         return queue.nextOrNull(now, overallGrantRate.expectedTime(1, now), lowestRank)
     }
 
+    /**
+     * Sets [first] aside for this round of grants and returns `true` if it waits for a better target
+     * than [free].
+     */
+    fun trySetAside(first: EstimatedRequest, free: TargetState, now: Instant): Boolean {
+        if (!targets.weighsPlacement(now)) return false
+        val isWaiting = waits.tryWait(first, free, overallGrantRate.expectedTime(1, now), now)
+        if (isWaiting) {
+            queue.setAside(first)
+            overload?.remove(first)
+            aside += first
+        }
+        return isWaiting
+    }
+
+    /** Ends a round of grants: the requests that were set aside wait again. */
+    fun endRound(now: Instant) {
+        queue.putBack()
+        aside.forEach { overload?.add(it, now) }
+        aside.clear()
+    }
+
     /**
      * Returns the request that gets a slot at [target] instead of [first], of the same rank, if
      * much more of its prompt is cached there and [first] can wait for a further slot.
@@ -159,7 +185,7 @@
     ): EstimatedRequest = waiting.take(REUSE_DEPTH)
         .filter {
             target.cachedTokens(it.request) >= least &&
-                target.canStart(it, targets.kvCapacity, now)
+                targets.canStart(target, it, now)
         }
         .maxByOrNull { target.cachedTokens(it.request) } ?: first
 
@@ -207,7 +233,7 @@
             return maxOf(it.expectedWait(estimated, slots, now), targets.restWait(request, now))
         }
         val queueDrainTime = (queue.queuedMillisAtOrAbove(request.rank) / slots).milliseconds
-        val waiting = queue.countOf(request.rank)
+        val waiting = queue.countOf(request.rank) - waits.countOf(request.rank)
         val leastWait = maxOf(queueDrainTime, targets.restWait(request, now))
         if (waiting < MIN_QUEUE_FOR_RATE) return leastWait
         return maxOf(leastWait, grantRateOf(request.rank, now).expectedTime(waiting, now))
