Keep long prompts from targets where they pause the streams beside them

Cause: an engine prefills prompts in parts between the decode steps of its other requests. At a target that is three times slower, 6,600 tokens pause each stream beside it for 0.3 to 0.5 s, which makes it late (goal 0.3 to 0.4 s).

Change: under weighed placement, a target where the prefills ahead, its own one and an event exceed the pause that the routes allow is worse by the streams in flight there, and a request may wait for a busy target instead, as long as it begins by its goal.

Result: PausesTest, PlacementTest, PlacementWaitsTest, FleetSchedulerTest pass.

--- a/core/src/main/kotlin/io/primroseflow/fleet/FleetScheduler.kt
+++ b/core/src/main/kotlin/io/primroseflow/fleet/FleetScheduler.kt
@@ -476,6 +476,7 @@
         for (id in services.keys + byService.keys) {
             val state = stateOf(id)
             state.targets.kvCapacity = routedServices[id]?.kvTokens
+            state.targets.pauseLimit = pauseLimitOf(id)
             val listed = byService[id].orEmpty()
             val added = state.targets.update(listed, slotsOf(id, listed))
             for (target in added) countRunning(target)
@@ -483,6 +484,15 @@
         pacing.retain(listedTargets.mapTo(HashSet()) { it.id })
     }
 
+    /** Returns the shortest pause that the routes of [service] allow, or `null` if none has a limit. */
+    private fun pauseLimitOf(service: ServiceId): PauseLimit? {
+        val goal = policy?.routes.orEmpty()
+            .filter { route -> route.isStream && route.split.any { it.service == service } }
+            .mapNotNull { it.pauseGoal }
+            .minOrNull() ?: return null
+        return PauseLimit(goal, routedServices[service]?.eventTokens ?: 1)
+    }
+
     /**
      * Returns the slots at the targets of [service] that this scheduler grants. A host on its own
      * gets its share of the targets without a rate, and a slot of each other one for its turns.
--- a/core/src/main/kotlin/io/primroseflow/fleet/Placement.kt
+++ b/core/src/main/kotlin/io/primroseflow/fleet/Placement.kt
@@ -23,6 +23,12 @@
  */
 private const val MISS_PENALTY = 100_000.0
 
+/**
+ * Disadvantage of a target for each stream beside which a prefill causes a pause that makes it late,
+ * in milliseconds. Most of these are shorter, and worth less, than the long prompts that cause it.
+ */
+private const val PAUSE_PENALTY = 30_000.0
+
 /**
  * Compares targets by the expected completion of a request, and by what it costs the requests that
  * run beside it.
@@ -65,10 +71,27 @@
         val prefill = work.prefillMillis(state.uncachedTokens(request), now)
         val first = work.prefillWaitMillis(now) + prefill
         val total = first + decode + remote
-        return total + prefill * state.inFlight +
+        val pauses = if (pausesOthers(state, estimated, now)) state.inFlight else 0
+        return total + prefill * state.inFlight + pauses * PAUSE_PENALTY +
             missPenalty(estimated, START_OVERHEAD_MILLIS + first, total, now)
     }
 
+    /**
+     * Returns whether the prefill of [estimated] at [state] causes a pause in the streams beside it
+     * that makes them late.
+     *
+     * An engine prefills a part of a prompt in each step, so that the prefills it has yet to do
+     * fall between two events of every stream.
+     */
+    fun pausesOthers(state: TargetState, estimated: EstimatedRequest, now: Instant): Boolean {
+        val limit = state.pauseLimit ?: return false
+        if (!estimated.request.isStream || state.inFlight == 0) return false
+        val work = state.work
+        val prefill = work.prefillMillis(state.uncachedTokens(estimated.request), now)
+        val event = work.eventMillis(limit.eventTokens, now)
+        return (work.prefillWaitMillis(now) + prefill + event).milliseconds > limit.goal
+    }
+
     /** Returns the time from the first event of [estimated] to its goal if it starts at [begin]. */
     fun goalSlack(state: TargetState, estimated: EstimatedRequest, begin: Instant): Duration {
         val request = estimated.request
--- a/core/src/main/kotlin/io/primroseflow/fleet/PlacementWaits.kt
+++ b/core/src/main/kotlin/io/primroseflow/fleet/PlacementWaits.kt
@@ -20,7 +20,7 @@
 
 /**
  * The requests of one service that leave free slots to others, as they wait for a busy target that
- * has cached most of their prompt, or for one that meets their goal.
+ * has cached most of their prompt, or for one that meets their goal without pauses in other streams.
  *
  * No slot is kept free for them. Each further request that waits for the same target expects a later
  * slot, so that a part that one target cannot serve soon is prefilled at another one.
@@ -60,11 +60,11 @@
         if (!request.isStream || waiting.size >= MAX_WAITING) return false
         val slack = estimated.latestStartForGoal - now
         val slackAtFree = Placement.goalSlack(free, estimated, now)
-        val isLate = slackAtFree < Duration.ZERO
+        val isPoor = slackAtFree < Duration.ZERO || Placement.pausesOthers(free, estimated, now)
         // If the wait is in vain, a slot like the free one must still meet the goal, if it does now.
-        val spare = (if (isLate) slack else minOf(slack, slackAtFree)) - interval * 2 - GOAL_MARGIN
+        val spare = (if (isPoor) slack else minOf(slack, slackAtFree)) - interval * 2 - GOAL_MARGIN
         if (spare <= Duration.ZERO || ends[request.ticket]?.let { now >= it } == true) return false
-        val chosen = busyTargetOrNull(estimated, free, isLate, spare, now) ?: return false
+        val chosen = busyTargetOrNull(estimated, free, isPoor, spare, now) ?: return false
         waiting[request.ticket] = request.rank
         waitingFor.merge(chosen.target.id, 1, Int::plus)
         return true
@@ -73,12 +73,12 @@
     private fun busyTargetOrNull(
         estimated: EstimatedRequest,
         free: TargetState,
-        isLate: Boolean,
+        isPoor: Boolean,
         spare: Duration,
         now: Instant
     ): TargetState? {
         val request = estimated.request
-        if (!isLate && request.parts.isEmpty()) return null
+        if (!isPoor && request.parts.isEmpty()) return null
         val uncachedAtFree = free.uncachedTokens(request)
         val freePrefill = free.work.prefillMillis(uncachedAtFree, now) * (1 + free.inFlight)
         val freeCost = Placement.costMillis(free, estimated, now)
@@ -87,17 +87,18 @@
             val uncached = state.uncachedTokens(request)
             val isCached = uncached <= request.promptTokens / 2 &&
                 uncachedAtFree - uncached >= MIN_SAVED_TOKENS
-            if (!isCached && !isLate || !state.isEligible(request, now)) continue
+            if (!isCached && !isPoor || !state.isEligible(request, now)) continue
             val ahead = waitingFor[state.target.id] ?: 0
             val wait = state.work.millisUntilFree(ahead + 1, now)
             if (wait > spare / 1.milliseconds) continue
             val begin = now + wait.milliseconds
             if (Placement.goalSlack(state, estimated, begin) < GOAL_MARGIN) continue
+            if (isPoor && Placement.pausesOthers(state, estimated, begin)) continue
             val saved = freePrefill - state.work.prefillMillis(uncached, now) * state.inFlight
             val isCheaper = wait < saved &&
                 wait + Placement.costMillis(state, estimated, now) < freeCost
-            if (!isLate && !isCheaper) continue
-            ends.getOrPut(request.ticket) { now + (if (isLate) spare else saved.milliseconds) }
+            if (!isPoor && !isCheaper) continue
+            ends.getOrPut(request.ticket) { now + (if (isPoor) spare else saved.milliseconds) }
             return state
         }
         return null
--- a/core/src/main/kotlin/io/primroseflow/fleet/ServiceTargets.kt
+++ b/core/src/main/kotlin/io/primroseflow/fleet/ServiceTargets.kt
@@ -33,6 +33,9 @@
     /** KV cache of each target in tokens, or `null` for a plain service. */
     var kvCapacity: Long? = null
 
+    /** Longest pause between the events of a stream that is in time, `null` for no limit. */
+    var pauseLimit: PauseLimit? = null
+
     val all: Collection<TargetState> get() = states.values
 
     /** Learnt costs of the work of the service. */
@@ -56,6 +59,7 @@
             if (state.target.address != target.address) state.clearCachedParts()
             state.target = target
             state.slotLimit = slots[target.id] ?: 0
+            state.pauseLimit = pauseLimit
         }
         states.values.filter { it.target.id !in listed }.forEach {
             it.target = it.target.copy(isLeaving = true)
--- a/core/src/main/kotlin/io/primroseflow/fleet/TargetState.kt
+++ b/core/src/main/kotlin/io/primroseflow/fleet/TargetState.kt
@@ -87,6 +87,9 @@
             field = value
         }
 
+    /** Longest pause between the events of its streams that is in time, `null` for no limit. */
+    var pauseLimit: PauseLimit? = null
+
     /** Number of slots in use. */
     var inFlight: Int = 0
         private set
--- a/core/src/main/kotlin/io/primroseflow/fleet/TargetWork.kt
+++ b/core/src/main/kotlin/io/primroseflow/fleet/TargetWork.kt
@@ -45,6 +45,10 @@
     fun prefillMillis(tokens: Int, now: Instant): Double =
         tokens * speed.promptMillis * speed.pace.at(now)
 
+    /** Returns the time between two events of [tokens] each without prefills, in milliseconds. */
+    fun eventMillis(tokens: Int, now: Instant): Double =
+        tokens * speed.outputMillis * speed.pace.at(now)
+
     /** Returns the time of [estimated] after its prefill, in milliseconds. */
     fun decodeMillis(estimated: EstimatedRequest, now: Instant): Double {
         val isStream = estimated.request.isStream
--- a/core/src/main/kotlin/io/primroseflow/routing/RoutedPolicies.kt
+++ b/core/src/main/kotlin/io/primroseflow/routing/RoutedPolicies.kt
@@ -51,6 +51,8 @@
  * @property isStream whether the answer is a stream of events
  * @property callerProgressTimeout time without the first or the next piece of an answer after which
  * callers give up
+ * @property pauseGoal longest time between two events of a stream at which it counts as in time, or
+ * `null` for no limit
  */
 public data class ServiceRoute(
     val id: RouteId,
@@ -64,7 +66,8 @@
     val maxAttempts: Int,
     val isPublic: Boolean,
     val isStream: Boolean,
-    val callerProgressTimeout: Duration = timeout
+    val callerProgressTimeout: Duration = timeout,
+    val pauseGoal: Duration? = null
 )
 
 /**
