Check that an answer without a length was not cut off during a long upload

Cause: an answer that ends with its connection counted as complete at the end of the input. A target that ends its output, or closes with nothing unread, is reset only by the rest of the request, which was still being written then. Callers got a part of an answer as the whole, plain calls as well as streams.

Change: at the end of such an answer, the exchange waits until the request was written or has failed, for at most 1 s; after a failure the answer is lost. An end of the output alone stays complete.

--- a/daemon/src/main/kotlin/io/primroseflow/daemon/target/TargetExchanges.kt
+++ b/daemon/src/main/kotlin/io/primroseflow/daemon/target/TargetExchanges.kt
@@ -10,6 +10,7 @@
 import java.io.IOException
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
 import kotlin.time.TimeSource
 import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.CompletableDeferred
@@ -19,6 +20,7 @@
 import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
+import kotlinx.coroutines.withTimeoutOrNull
 import kotlinx.io.Buffer
 import kotlinx.io.readByteArray
 
@@ -33,6 +35,12 @@
 /** Interval at which it is checked whether a silent target has gone on. */
 private val PROGRESS_POLL_INTERVAL: Duration = 20.milliseconds
 
+/**
+ * Time in which a request that is still being written may turn out to have failed, after its answer
+ * has ended with the input. A reset arrives within one round trip of the next bytes.
+ */
+private val RESET_TIMEOUT: Duration = 1.seconds
+
 private const val HTTP_MISDIRECTED_REQUEST = 421
 
 private val successStatuses = 200..299
@@ -219,7 +227,9 @@
             private set
         var idleLimit: Duration? = null
             private set
-        private val isWritten = CompletableDeferred<Unit>()
+
+        /** Completed with whether the request was written in full. */
+        private val isWritten = CompletableDeferred<Boolean>()
         private val startedAt = time.markNow()
 
         /** Time without progress from which the target counts as silent. */
@@ -245,7 +255,7 @@
             } catch (e: CancellationException) {
                 ExchangeResult.Failed("silent for ${silence ?: throw e}")
             } finally {
-                isReusable = isReusable && isWritten.isCompleted
+                isReusable = isReusable && isWritten.isCompleted && isWritten.await()
                 writer.cancel()
                 watchdog.cancel()
             }
@@ -295,12 +305,23 @@
         private suspend fun write() {
             try {
                 connection.write(dispatch.method, dispatch.path, dispatch.fields, dispatch.body)
-                isWritten.complete(Unit)
+                isWritten.complete(true)
             } catch (_: IOException) {
                 // The reader gets the failure too, after what the target sent before it.
+                isWritten.complete(false)
             }
         }
 
+        /**
+         * Checks that an answer that ended with the input was not cut off. A target that breaks off
+         * may end its output before the reset, which only the rest of the request meets.
+         */
+        private suspend fun checkOrderlyEnd(framing: BodyFraming) {
+            if (framing != BodyFraming.UntilClose) return
+            val isIntact = withTimeoutOrNull(RESET_TIMEOUT) { isWritten.await() } ?: true
+            if (!isIntact) throw IOException("connection was reset while the request was written")
+        }
+
         private suspend fun readAnswer(): ExchangeResult {
             val head = readMatchingHead()
             val traits = dialect.readAnswer(head.status, head.fields)
@@ -363,6 +384,7 @@
             traits: AnswerTraits
         ): ExchangeResult {
             val body = readBytes(framing)
+            checkOrderlyEnd(framing)
             isReusable = framing != BodyFraming.UntilClose && head.keepsConnection
             val isReplaced = head.status == HTTP_MISDIRECTED_REQUEST
             if (traits.isNotRun || isReplaced) {
@@ -403,6 +425,7 @@
             if (splitter.hasPartialEvent) {
                 return ExchangeResult.Failed("stream ended within an event", isBroken = true)
             }
+            checkOrderlyEnd(framing)
             // Nothing but the end of the connection says that this stream is complete.
             if (framing == BodyFraming.UntilClose && splitter.eventCount == 0) {
                 val cause = "connection ended before the first event"
--- a/daemon/src/test/kotlin/io/primroseflow/daemon/entry/FakeTarget.kt
+++ b/daemon/src/test/kotlin/io/primroseflow/daemon/entry/FakeTarget.kt
@@ -23,6 +23,12 @@
         socket.setSoLinger(true, 0)
         socket.close()
     }
+
+    /** Ends the output of the connection in an orderly way; requests can still be read from it. */
+    fun endOutput() = socket.shutdownOutput()
+
+    /** Reads [count] more bytes of the body; returns how many came before the connection ended. */
+    fun readMore(count: Int): Int = socket.getInputStream().readNBytes(count).size
 }
 
 /** Answers a request and returns whether the connection stays open. */
@@ -49,6 +55,11 @@
         thread(isDaemon = true) { acceptAll() }
     }
 
+    /** Makes connections accept no more than [bytes] that are not read. */
+    fun limitReceiveBuffer(bytes: Int) {
+        server.receiveBufferSize = bytes
+    }
+
     override fun close() {
         server.close()
         sockets.forEach { it.close() }
