Reject answers whose status is outside 200 to 599

Cause: Ktor's parser checks the range of a status only if a space follows it, and then accepts 100 to 999. Entry hosts forwarded 000, 600 and 999, and hosts with fixed peers also 101.

Change: such a status ends the exchange like bytes that are no answer: a lost answer (502), sent again only if the request may be repeated. With fixed peers, a call is interrupted as failed at its target.

Early resets with fixed peers and statuses that are no number held before; their tests stay.

--- a/daemon/src/main/kotlin/io/primroseflow/daemon/target/ResponseBodies.kt
+++ b/daemon/src/main/kotlin/io/primroseflow/daemon/target/ResponseBodies.kt
@@ -22,6 +22,9 @@
     data object Ambiguous : BodyFraming
 }
 
+/** Statuses of final answers (RFC 9110, 15); Ktor's parser also accepts others. */
+internal val finalStatuses: IntRange = 200..599
+
 private val bodilessStatuses = setOf(204, 304)
 
 /** Returns the framing of the body of this response. */
--- a/daemon/src/main/kotlin/io/primroseflow/daemon/target/ServiceExchanges.kt
+++ b/daemon/src/main/kotlin/io/primroseflow/daemon/target/ServiceExchanges.kt
@@ -72,6 +72,7 @@
         val framing = if (work.method == "HEAD") BodyFraming.Sized(0) else head.bodyFraming()
         val part = headPart(head)
         head.release()
+        if (part.status !in finalStatuses) return ExchangeEnd.Interrupted(Interruption.TargetFailed)
         if (isForeign) return ExchangeEnd.Interrupted(Interruption.ForeignAnswer)
         if (!observer.onPart(part)) return ExchangeEnd.Interrupted(Interruption.AnswerTooLarge)
         return readBody(connection.input, framing)
--- a/daemon/src/main/kotlin/io/primroseflow/daemon/target/TargetConnectionPools.kt
+++ b/daemon/src/main/kotlin/io/primroseflow/daemon/target/TargetConnectionPools.kt
@@ -113,7 +113,10 @@
     suspend fun readHead(): HttpAnswerHead? {
         repeat(MAX_INTERIM_HEADS + 1) {
             val head = readAnyHead() ?: return null
-            if (head.status !in HTTP_CONTINUE until FIRST_FINAL_STATUS) return head
+            if (head.status in finalStatuses) return head
+            if (head.status !in HTTP_CONTINUE until FIRST_FINAL_STATUS) {
+                throw IOException("answered with the invalid status ${head.status}")
+            }
         }
         throw IOException("more than $MAX_INTERIM_HEADS interim responses")
     }
