Hold what slow callers do not read in bounded memory

Cause: a write to a caller waited while the socket's output was full, so the target was not read. Targets cut such answers off after some seconds, and their slots stayed taken meanwhile.

Change, with boundsSlowCallers only: CallerOutput accepts what the caller does not read, so that an exchange ends and releases its slot when the target has finished. CallerMemory bounds the bytes to 24 MiB for the host; dynamic thresholds take room first from the team and the callers that hold most, whose targets are then not read. A caller that reads nothing for 10 s, or for 3 s while its target waits, is disconnected without the last chunk. Gauges, a counter of dropped answers and a line for each change of state. RequestRelay is unchanged.

SlowReadersTest: 40 callers of one team that do not read 2 MB each, beside 20 answers to another team, all complete; the held bytes stay within the limit; leaving callers, broken targets and a planned stop.

--- a/daemon/src/main/kotlin/io/primroseflow/daemon/entry/EntryHost.kt
+++ b/daemon/src/main/kotlin/io/primroseflow/daemon/entry/EntryHost.kt
@@ -57,6 +57,9 @@
 /** Maximum size of all answers that are read as a whole and not forwarded yet, in bytes. */
 private const val MAX_TOTAL_ANSWER_BYTES = 24L * 1024 * 1024
 
+/** Time for the caller to read what came before its answer broke off. */
+private val BROKEN_DRAIN_TIMEOUT: Duration = 5.seconds
+
 private val STOP_POLL_INTERVAL: Duration = 50.milliseconds
 
 /**
@@ -156,6 +159,8 @@
         answers = ByteBudget(MAX_TOTAL_ANSWER_BYTES),
         log = log
     )
+    private val outputs =
+        if (settings.boundsSlowCallers) CallerOutputs(clock, log, metrics) else null
     private val callers = HttpListener(
         loop = loop,
         scope = scope,
@@ -212,6 +217,14 @@
         every(TRIM_INTERVAL, "connections") {
             pool.closeStale(slots.targets.mapTo(HashSet()) { it.address })
         }
+        outputs?.let {
+            metrics.addGauges(
+                "caller_held_bytes" to { it.heldBytes },
+                "callers_slow" to { it.slowCount },
+                "callers_waiting_for_memory" to { it.waitingCount }
+            )
+            every(SWEEP_INTERVAL, "caller outputs") { it.sweep() }
+        }
         startDetachedTasks()
         log.info("host_started", "data_centre" to settings.dataCentre)
     }
@@ -330,6 +343,9 @@
         connection: HttpConnection,
         closes: Boolean
     ): Boolean {
+        outputs?.let { outputs ->
+            connection.holdOutput { outputs.open(it, request.team?.id, request.traits.id) }
+        }
         val relay = RequestRelay(relayContext, request, connection, closes)
         var result: RelayResult? = null
         var hasCallerLeft = false
@@ -377,7 +393,11 @@
             metrics.recordEnd(request, relay, outcomeLabel(ended, hasCallerLeft), clock.now())
             logEnd(request, relay, ended, hasCallerLeft)
         }
-        if (hasCallerLeft || ended == null || ended is RelayResult.Broken) return false
+        if (hasCallerLeft || ended == null) return false
+        if (ended is RelayResult.Broken) {
+            withTimeoutOrNull(BROKEN_DRAIN_TIMEOUT) { connection.awaitSent() }
+            return false
+        }
         if (ended is RelayResult.Refused) {
             refuse(connection, ended.refusal, ended.retryAfter, request.traits.id, closes)
         }
--- a/daemon/src/main/kotlin/io/primroseflow/daemon/entry/EntryMetrics.kt
+++ b/daemon/src/main/kotlin/io/primroseflow/daemon/entry/EntryMetrics.kt
@@ -38,6 +38,11 @@
         "Changes of the condition of a target that its answers stated, by the new condition",
         "condition"
     )
+    private val droppedAnswers = page.counter(
+        "answers_dropped_total",
+        "Answers that were ended because their callers did not read them, by reason",
+        "reason"
+    )
     private val phases = page.histogram(
         "phase_seconds",
         "Time of admitted requests: waiting for slots, from arrival to the first event, in total",
@@ -65,6 +70,11 @@
         conditions.labelValues(nameOf(condition)).inc()
     }
 
+    /** Counts an answer that was ended for [reason], as its caller did not read it. */
+    fun countDropped(reason: String) {
+        droppedAnswers.labelValues(reason).inc()
+    }
+
     /** Records the outcome, the number of dispatches and the times of an admitted request. */
     fun recordEnd(request: RoutedRequest, relay: RequestRelay, outcome: String, now: Instant) {
         val kind = kindOf(request.route)
--- a/daemon/src/main/kotlin/io/primroseflow/daemon/http/HttpConnection.kt
+++ b/daemon/src/main/kotlin/io/primroseflow/daemon/http/HttpConnection.kt
@@ -72,7 +72,10 @@
     private val memory: ByteBudget.Share
 ) {
     private val input: ByteReadChannel = socket.input
-    private val output: ByteWriteChannel = socket.output
+    private var output: ByteWriteChannel = socket.output
+
+    /** Output that holds what the peer does not read, `null` if writes wait for the peer. */
+    private var holding: CallerOutput? = null
 
     /** Whether a response to the current request has been started; it cannot be replaced then. */
     var isResponseStarted: Boolean = false
@@ -95,6 +98,9 @@
         isHeadRequest = false
         isBusy = false
         memory.close()
+        holding?.close()
+        holding = null
+        output = socket.output
         val hasContent = withTimeoutOrNull(bounds().idleTimeout) { input.awaitContent() }
         if (hasContent != true) return Incoming.Closed
         isBusy = true
@@ -126,6 +132,17 @@
         true
     }
 
+    /** Writes the response to the current request to the output that [open] returns. */
+    fun holdOutput(open: (StreamSocket) -> CallerOutput) {
+        holding?.close()
+        holding = open(socket).also { output = it }
+    }
+
+    /** Waits until the socket has taken over what is held of the response, if any is. */
+    suspend fun awaitSent() {
+        holding?.drain()
+    }
+
     /**
      * Sends a complete response with [body].
      *
@@ -144,6 +161,7 @@
         output.writePacket(head.build())
         if (!isHeadRequest) writeBody(body)
         output.flush()
+        awaitSent()
     }
 
     /** Writes [body] so that a slow reader does not make the output hold a copy of all of it. */
@@ -151,6 +169,8 @@
         for (start in body.indices step WRITE_BYTES) {
             output.writeFully(body, start, minOf(start + WRITE_BYTES, body.size))
             output.flush()
+            // The body is in memory already, so no more than a part of it is held beside it.
+            awaitSent()
         }
     }
 
@@ -180,6 +200,7 @@
     suspend fun finishChunked() {
         output.writeFully(lastChunk)
         output.flush()
+        awaitSent()
     }
 
     /**
@@ -206,6 +227,7 @@
      */
     fun close() {
         memory.close()
+        holding?.close()
         socket.close()
     }
 
--- a/daemon/src/main/kotlin/io/primroseflow/daemon/socket/StreamSocket.kt
+++ b/daemon/src/main/kotlin/io/primroseflow/daemon/socket/StreamSocket.kt
@@ -50,12 +50,38 @@
     private var isInputEnded = false
     private var isClosing = false
 
+    /** Called when the socket takes bytes again after [isWritable] was `false`. */
+    var onWritable: (() -> Unit)? = null
+
+    /** Whether the socket takes bytes without holding more than its limit. */
+    val isWritable: Boolean get() = channel.isWritable
+
     /** Channel of the bytes that the peer sends. */
     val input: ByteReadChannel = Input()
 
     /** Channel of the bytes to send; they are written when it is flushed. */
     val output: ByteWriteChannel = Output()
 
+    /** Sends [bytes]; [onDone] is called once the system has taken them over or the write failed. */
+    fun send(bytes: ByteArray, onDone: () -> Unit) {
+        channel.writeAndFlush(Unpooled.wrappedBuffer(bytes)).addListener { future ->
+            future.cause()?.let { fail(it as? IOException ?: IOException(it)) }
+            onDone()
+        }
+    }
+
+    /** Sets the size of the send buffer, which the system otherwise lets grow to some megabytes. */
+    fun limitSendBuffer(bytes: Int) {
+        if (channel.isActive) channel.config().sendBufferSize = bytes
+    }
+
+    /** Closes the connection at once; what was not sent is discarded. */
+    fun abort() {
+        isClosing = true
+        failInput()
+        channel.close()
+    }
+
     /** Tells the peer, after the bytes that were flushed before, that no more follow. */
     fun endOutput() {
         channel.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener { channel.shutdownOutput() }
@@ -103,7 +129,9 @@
     override fun channelReadComplete(context: ChannelHandlerContext) = wakeReader()
 
     override fun channelWritabilityChanged(context: ChannelHandlerContext) {
-        if (channel.isWritable) wakeWriter()
+        if (!channel.isWritable) return
+        wakeWriter()
+        onWritable?.invoke()
     }
 
     override fun userEventTriggered(context: ChannelHandlerContext, event: Any) {
--- a/daemon/src/test/kotlin/io/primroseflow/daemon/entry/RoutedFixture.kt
+++ b/daemon/src/test/kotlin/io/primroseflow/daemon/entry/RoutedFixture.kt
@@ -144,7 +144,8 @@
     lease: Duration = 5.seconds,
     grace: Duration = 6.seconds,
     changes: Map<String, PolicyChange> = emptyMap(),
-    dialect: Dialect = TestDialect
+    dialect: Dialect = TestDialect,
+    boundsSlowCallers: Boolean = false
 ) : AutoCloseable {
     private val decoder = decoderOf(changes)
     private val folder = Files.createTempDirectory("control")
@@ -201,7 +202,8 @@
         grace = grace,
         retryLimits = RetryLimits(allowance = 100),
         quotaWindow = tolerance.window,
-        metricsPort = ports.next()
+        metricsPort = ports.next(),
+        boundsSlowCallers = boundsSlowCallers
     )
     private val entry = EntryHost(
         settings,
@@ -281,9 +283,16 @@
     grace: Duration = 6.seconds,
     changes: Map<String, PolicyChange> = emptyMap(),
     dialect: Dialect = TestDialect,
+    boundsSlowCallers: Boolean = false,
     block: RoutedFixture.() -> Unit
 ) {
-    RoutedFixture(*targets, grace = grace, changes = changes, dialect = dialect).use {
+    RoutedFixture(
+        *targets,
+        grace = grace,
+        changes = changes,
+        dialect = dialect,
+        boundsSlowCallers = boundsSlowCallers
+    ).use {
         it.startControl()
         it.block()
     }
