Give up targets that read nothing of a request

Cause: writes had no limit, so a target that did not read an upload held its request until the deadline, after which the caller learned nothing about it.

Change, with boundsSlowCallers only: a target that has not begun to answer must read something within 4 s. Then an idempotent request goes to another target; a non-idempotent one fails with answer_lost (502). The send buffers of connections to targets are set to 128 KiB, so that progress is seen. Bodies are written in parts of 64 KiB, which saves copies of the whole body. The end of an unframed answer is checked for as long as the rest of its request is being read.

SlowReadersTest: an upload of 7 MB that the target does not read.

--- a/daemon/src/main/kotlin/io/primroseflow/daemon/entry/EntryHost.kt
+++ b/daemon/src/main/kotlin/io/primroseflow/daemon/entry/EntryHost.kt
@@ -57,6 +57,18 @@
 /** Maximum size of all answers that are read as a whole and not forwarded yet, in bytes. */
 private const val MAX_TOTAL_ANSWER_BYTES = 24L * 1024 * 1024
 
+/**
+ * Time in which a target must read something of a request. Targets read at once when they take a
+ * request; a lost packet costs up to 1.5 s with three retransmissions.
+ */
+private val WRITE_TIMEOUT: Duration = 4.seconds
+
+/**
+ * Size of the send buffer of a connection to a target. The kernel reports that the target reads once
+ * a third of the buffer is free, and it grows a buffer without a fixed size to several megabytes.
+ */
+private const val TARGET_SEND_BUFFER_BYTES = 128 * 1024
+
 /** Time for the caller to read what came before its answer broke off. */
 private val BROKEN_DRAIN_TIMEOUT: Duration = 5.seconds
 
@@ -127,7 +139,11 @@
         conditions = { conditions.current }
     )
     private val policy = RoutedPolicyInForce(decoder, log, ::onPolicy)
-    private val pool = TargetConnectionPool(loop, clock)
+    private val pool = TargetConnectionPool(
+        loop,
+        clock,
+        if (settings.boundsSlowCallers) TARGET_SEND_BUFFER_BYTES else null
+    )
     private val links = PeerLinks(
         self = self,
         loop = loop,
@@ -154,7 +170,12 @@
         dataCentre = settings.dataCentre,
         dialect = dialect,
         slots = slots,
-        exchanger = TargetExchanger(pool, dialect, conditions),
+        exchanger = TargetExchanger(
+            pool,
+            dialect,
+            conditions,
+            writeTimeout = if (settings.boundsSlowCallers) WRITE_TIMEOUT else Duration.INFINITE
+        ),
         conditions = conditions,
         answers = ByteBudget(MAX_TOTAL_ANSWER_BYTES),
         log = log
--- a/daemon/src/main/kotlin/io/primroseflow/daemon/target/TargetConnectionPools.kt
+++ b/daemon/src/main/kotlin/io/primroseflow/daemon/target/TargetConnectionPools.kt
@@ -39,6 +39,9 @@
 /** Maximum size of the head of an answer. */
 private const val MAX_HEAD_BYTES = 64 * 1024
 
+/** Maximum size of a part of a body that is written at once. */
+private const val WRITE_BYTES = 64 * 1024
+
 private const val HTTP_VERSION = "HTTP/1.1"
 
 /** Maximum number of interim responses before a final one. */
@@ -91,8 +94,18 @@
         exchangeCount++
     }
 
-    /** Writes a request with its [body]. */
-    suspend fun write(method: String, path: String, fields: List<HttpField>, body: ByteArray) {
+    /**
+     * Writes a request with its [body].
+     *
+     * @param onProgress called whenever the socket has taken over a part of the request
+     */
+    suspend fun write(
+        method: String,
+        path: String,
+        fields: List<HttpField>,
+        body: ByteArray,
+        onProgress: () -> Unit = {}
+    ) {
         val builder = RequestResponseBuilder()
         builder.requestLine(HttpMethod.parse(method), path, HTTP_VERSION)
         fields.forEach { builder.headerLine(it.name, it.value) }
@@ -100,7 +113,11 @@
         if (hasBody) builder.headerLine("Content-Length", body.size.toString())
         builder.emptyLine()
         output.writePacket(builder.build())
-        if (body.isNotEmpty()) output.writeFully(body)
+        for (start in body.indices step WRITE_BYTES) {
+            output.writeFully(body, start, minOf(start + WRITE_BYTES, body.size))
+            output.flush()
+            onProgress()
+        }
         output.flush()
     }
 
@@ -137,8 +154,14 @@
  * The pool of idle connections to all targets. Not thread-safe.
  *
  * The most recently used connection is reused first, so that surplus connections expire.
+ *
+ * @param sendBufferBytes size of the send buffers of connections, `null` if the system chooses it
  */
-internal class TargetConnectionPool(private val loop: EventLoop, private val clock: Clock) {
+internal class TargetConnectionPool(
+    private val loop: EventLoop,
+    private val clock: Clock,
+    private val sendBufferBytes: Int? = null
+) {
     private val idle = HashMap<String, ArrayDeque<PooledConnection>>()
 
     /** Number of connections opened so far. */
@@ -185,7 +208,10 @@
         }
         // A deadline of the caller must not look like a target that cannot be reached.
         currentCoroutineContext().ensureActive()
-        if (socket != null) openedCount++
+        if (socket != null) {
+            openedCount++
+            sendBufferBytes?.let(socket::limitSendBuffer)
+        }
         return socket?.let { PooledConnection(it, address) }
     }
 
--- a/daemon/src/main/kotlin/io/primroseflow/daemon/target/TargetExchanges.kt
+++ b/daemon/src/main/kotlin/io/primroseflow/daemon/target/TargetExchanges.kt
@@ -11,11 +11,13 @@
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
+import kotlin.time.TimeMark
 import kotlin.time.TimeSource
 import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.CoroutineStart
 import kotlinx.coroutines.async
+import kotlinx.coroutines.awaitCancellation
 import kotlinx.coroutines.cancelAndJoin
 import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.delay
@@ -174,12 +176,18 @@
     fun onReplacementUnused()
 }
 
-/** Runs exchanges with targets over pooled connections. */
+/**
+ * Runs exchanges with targets over pooled connections.
+ *
+ * @param writeTimeout time in which a target must read something of a request that it has not begun
+ *   to answer
+ */
 internal class TargetExchanger(
     private val pool: TargetConnectionPool,
     private val dialect: Dialect,
     private val conditions: TargetConditionMonitor,
-    private val time: TimeSource = TimeSource.Monotonic
+    private val time: TimeSource = TimeSource.Monotonic,
+    private val writeTimeout: Duration = Duration.INFINITE
 ) {
     /** Sends [dispatch] once and reads its answer; connection failures are part of the result. */
     suspend fun run(dispatch: Dispatch, listener: ExchangeListener): ExchangeResult {
@@ -232,6 +240,9 @@
         private val isWritten = CompletableDeferred<Boolean>()
         private val startedAt = time.markNow()
 
+        /** Time at which the socket took over a part of the request last. */
+        private var writtenAt = startedAt
+
         /** Time without progress from which the target counts as silent. */
         private var silenceLimit = dispatch.firstTimeout
         private var quietSince = startedAt
@@ -245,20 +256,40 @@
             // A target may answer before it has read the whole body, so both run concurrently.
             val writer = launch(start = CoroutineStart.UNDISPATCHED) { write() }
             val reader = async(start = CoroutineStart.UNDISPATCHED) { readAnswer() }
-            var silence: Duration? = null
+            var failure: String? = null
             val watchdog = launch {
-                silence = awaitSilence()
+                failure = "silent for ${awaitSilence()}"
                 reader.cancel()
             }
+            val writeWatchdog = if (writeTimeout.isInfinite() || isWritten.isCompleted) {
+                null
+            } else {
+                launch {
+                    awaitUnread()
+                    failure = "read nothing of the request for $writeTimeout"
+                    reader.cancel()
+                }
+            }
             try {
                 reader.await()
             } catch (e: CancellationException) {
-                ExchangeResult.Failed("silent for ${silence ?: throw e}")
+                ExchangeResult.Failed(failure ?: throw e)
             } finally {
                 isReusable = isReusable && isWritten.isCompleted && isWritten.await()
                 writer.cancel()
                 watchdog.cancel()
+                writeWatchdog?.cancel()
+            }
+        }
+
+        /** Waits until the target has read nothing of an unanswered request for too long. */
+        private suspend fun awaitUnread() {
+            while (!isWritten.isCompleted && progress == 0) {
+                val left = writeTimeout - writtenAt.elapsedNow()
+                if (left <= Duration.ZERO) return
+                delay(left)
             }
+            awaitCancellation()
         }
 
         /** Returns how long the target has been silent once the exchange is to be given up. */
@@ -304,7 +335,9 @@
 
         private suspend fun write() {
             try {
-                connection.write(dispatch.method, dispatch.path, dispatch.fields, dispatch.body)
+                connection.write(dispatch.method, dispatch.path, dispatch.fields, dispatch.body) {
+                    writtenAt = time.markNow()
+                }
                 isWritten.complete(true)
             } catch (_: IOException) {
                 // The reader gets the failure too, after what the target sent before it.
@@ -318,7 +351,12 @@
          */
         private suspend fun checkOrderlyEnd(framing: BodyFraming) {
             if (framing != BodyFraming.UntilClose) return
-            val isIntact = withTimeoutOrNull(RESET_TIMEOUT) { isWritten.await() } ?: true
+            var before: TimeMark? = null
+            while (!isWritten.isCompleted && writtenAt != before) {
+                before = writtenAt
+                withTimeoutOrNull(RESET_TIMEOUT) { isWritten.join() }
+            }
+            val isIntact = !isWritten.isCompleted || isWritten.await()
             if (!isIntact) throw IOException("connection was reset while the request was written")
         }
 
--- a/daemon/src/test/kotlin/io/primroseflow/daemon/entry/SlowReadersTest.kt
+++ b/daemon/src/test/kotlin/io/primroseflow/daemon/entry/SlowReadersTest.kt
@@ -169,4 +169,39 @@
                 }
             }
         }
+
+        describe("a target that does not read a long upload") {
+            val upload = "x".repeat(7_000_000)
+
+            // The caller learned at its deadline only (504) that the answer was lost.
+            it("loses the answer to a call that must not be repeated") {
+                val target = FakeTarget { _, _ ->
+                    Thread.sleep(7_000)
+                    false
+                }
+                target.readsBodies = false
+                withBounds(target) {
+                    val answer = call("/once/1", body = upload)
+                    answer shouldStartWith "HTTP/1.1 502"
+                    metrics().contains("outcome=\"answer_lost\"") shouldBe true
+                    target.received.size shouldBe 1
+                }
+            }
+
+            it("is replaced by another one for an idempotent call") {
+                val stuck = AtomicInteger()
+                val behaviour: Behaviour = { request, output ->
+                    if (stuck.getAndIncrement() == 0) {
+                        Thread.sleep(7_000)
+                        false
+                    } else {
+                        request.readMore(upload.length)
+                        output.answer(request.id)
+                        false
+                    }
+                }
+                val targets = Array(2) { FakeTarget(behaviour).apply { readsBodies = false } }
+                withBounds(*targets) { call("/safe/1", body = upload) shouldEndWith "done" }
+            }
+        }
     })
