--- a/daemon/src/test/kotlin/io/primroseflow/daemon/entry/SlowReadersTest.kt
+++ b/daemon/src/test/kotlin/io/primroseflow/daemon/entry/SlowReadersTest.kt
@@ -18,6 +18,9 @@
 
 private const val SLOW_CALLERS = 40
 
+/** Most of the time after which a caller that reads nothing is disconnected. */
+private const val UNREAD_MILLIS = 8_000L
+
 private val padding = "x".repeat(EVENT_BYTES)
 
 private val changes: Map<String, PolicyChange> = mapOf(
@@ -93,6 +96,19 @@
                 }
             }
 
+            // An answer that is held in full must not end as a complete one when it is dropped.
+            it("is ended visibly if its caller reads nothing, also after its target has finished") {
+                val streams = Streams(300)
+                withBounds(FakeTarget(streams.behaviour)) {
+                    val caller = begin("/stream/1", "r1")
+                    await { streams.finished.get() == 1 }
+                    Thread.sleep(UNREAD_MILLIS)
+                    await { gauge("entry_caller_held_bytes") == 0L }
+                    caller.readAll() shouldNotEndWith LAST_CHUNK
+                    metrics().contains("answers_dropped_total{reason=\"unread\"} 1") shouldBe true
+                }
+            }
+
             it("is cancelled at its target and forgotten if the caller leaves") {
                 val target = FakeTarget { request, output ->
                     output.beginStream(request.id)
--- a/daemon/src/test/kotlin/io/primroseflow/daemon/target/InvalidExchangesTest.kt
+++ b/daemon/src/test/kotlin/io/primroseflow/daemon/target/InvalidExchangesTest.kt
@@ -18,6 +18,10 @@
 
 private const val ID = "one.r1"
 
+/** What follows the version in the status line. */
+private val invalid =
+    listOf("000", "000 X", "099", "099 X", "101 X", "600", "600 X", "999 X", "abc X")
+
 private const val READ_MILLIS = 100L
 
 private const val HEAD_BYTES = 20
@@ -128,8 +132,9 @@
 
         describe("an answer with an invalid status") {
             // Operators: an answer with status 000 reached the caller.
-            for (status in listOf("000", "000 X", "099", "099 X", "101 X", "600", "600 X", "999 X", "abc X")) {
-                val answer = "HTTP/1.1 $status\r\nX-Request-Id: $ID\r\nContent-Length: 7\r\n\r\ninvalid"
+            for (status in invalid) {
+                val answer = "HTTP/1.1 $status\r\nX-Request-Id: $ID\r\n" +
+                    "Content-Length: 7\r\n\r\ninvalid"
 
                 it("is no answer to a call for '$status'") {
                     ScriptedServer { answer.toByteArray() }.use {
