--- a/daemon/src/main/kotlin/io/primroseflow/daemon/entry/EntryHost.kt
+++ b/daemon/src/main/kotlin/io/primroseflow/daemon/entry/EntryHost.kt
@@ -58,6 +58,21 @@
 /** Maximum size of all answers that are read as a whole and not forwarded yet, in bytes. */
 private const val MAX_TOTAL_ANSWER_BYTES = 24L * 1024 * 1024
 
+/**
+ * Time in which a target must read something of a request. Targets read at once when they take a
+ * request; a lost packet costs up to 1.5 s with three retransmissions.
+ */
+private val WRITE_TIMEOUT: Duration = 4.seconds
+
+/**
+ * Size of the send buffer of a connection to a target. The kernel reports that the target reads once
+ * a third of the buffer is free, and it grows a buffer without a fixed size to several megabytes.
+ */
+private const val TARGET_SEND_BUFFER_BYTES = 128 * 1024
+
+/** Time for the caller to read what came before its answer broke off. */
+private val BROKEN_DRAIN_TIMEOUT: Duration = 5.seconds
+
 private val STOP_POLL_INTERVAL: Duration = 50.milliseconds
 
 /**
@@ -127,7 +142,11 @@
         conditions = { conditions.current }
     )
     private val policy = RoutedPolicyInForce(decoder, log, ::onPolicy)
-    private val pool = TargetConnectionPool(loop, clock)
+    private val pool = TargetConnectionPool(
+        loop,
+        clock,
+        if (settings.boundsSlowCallers) TARGET_SEND_BUFFER_BYTES else null
+    )
     private val links = PeerLinks(
         self = self,
         loop = loop,
@@ -154,11 +173,18 @@
         dataCentre = settings.dataCentre,
         dialect = dialect,
         slots = slots,
-        exchanger = TargetExchanger(pool, dialect, conditions),
+        exchanger = TargetExchanger(
+            pool,
+            dialect,
+            conditions,
+            writeTimeout = if (settings.boundsSlowCallers) WRITE_TIMEOUT else Duration.INFINITE
+        ),
         conditions = conditions,
         answers = ByteBudget(MAX_TOTAL_ANSWER_BYTES),
         log = log
     )
+    private val outputs =
+        if (settings.boundsSlowCallers) CallerOutputs(clock, log, metrics) else null
     private val callers = HttpListener(
         loop = loop,
         scope = scope,
@@ -215,6 +241,14 @@
         every(TRIM_INTERVAL, "connections") {
             pool.closeStale(slots.targets.mapTo(HashSet()) { it.address })
         }
+        outputs?.let {
+            metrics.addGauges(
+                "caller_held_bytes" to { it.heldBytes },
+                "callers_slow" to { it.slowCount },
+                "callers_waiting_for_memory" to { it.waitingCount }
+            )
+            every(SWEEP_INTERVAL, "caller outputs") { it.sweep() }
+        }
         startDetachedTasks()
         log.info("host_started", "data_centre" to settings.dataCentre)
     }
@@ -333,6 +367,9 @@
         connection: HttpConnection,
         closes: Boolean
     ): Boolean {
+        outputs?.let { outputs ->
+            connection.holdOutput { outputs.open(it, request.team?.id, request.traits.id) }
+        }
         val relay = RequestRelay(relayContext, request, connection, closes)
         var result: RelayResult? = null
         var hasCallerLeft = false
@@ -380,7 +417,11 @@
             metrics.recordEnd(request, relay, outcomeLabel(ended, hasCallerLeft), clock.now())
             logEnd(request, relay, ended, hasCallerLeft)
         }
-        if (hasCallerLeft || ended == null || ended is RelayResult.Broken) return false
+        if (hasCallerLeft || ended == null) return false
+        if (ended is RelayResult.Broken) {
+            withTimeoutOrNull(BROKEN_DRAIN_TIMEOUT) { connection.awaitSent() }
+            return false
+        }
         if (ended is RelayResult.Refused) {
             refuse(connection, ended.refusal, ended.retryAfter, request.traits.id, closes)
         }
