Limit hedges at the scheduler and learn the delays of routes

Change: HedgeBudget limits hedges to a share of the first attempts of a service; LatencyPercentile estimates the 95th percentile of each route from SlotEnd.Served; FleetScheduler decides hedges at once, without a queue, and SlotRequestRecord and ReportReply get optional fields. Off without SchedulingFeatures.hedging.

--- a/core/src/main/kotlin/io/primroseflow/fleet/FleetModel.kt
+++ b/core/src/main/kotlin/io/primroseflow/fleet/FleetModel.kt
@@ -56,6 +56,8 @@
  * @property goal time by which the answer should begin
  * @property startBy time by which the answer must begin, as the caller gives up then
  * @property deadline time after which the answer is of no use
+ * @property isHedge whether a first attempt is in progress at one of the [excluded] targets, so that
+ *   the request is granted a spare slot at once or refused
  */
 public data class SlotRequest(
     val ticket: SlotTicket,
@@ -76,7 +78,8 @@
     val arrivedAt: Instant,
     val goal: Instant,
     val startBy: Instant,
-    val deadline: Instant
+    val deadline: Instant,
+    val isHedge: Boolean = false
 )
 
 /** The reason why a slot request is refused. */
@@ -101,7 +104,13 @@
     RateLimited,
 
     /** The host of the request stops. No scheduler refuses for this reason, only the host itself. */
-    HostStopping
+    HostStopping,
+
+    /** No further hedge is within its share; only hedges are refused for this reason. */
+    NoHedgeLeft,
+
+    /** No slot is free at once, or others wait for it; only hedges are refused for this reason. */
+    NoSpareSlot
 }
 
 /** The way in which the answer of a target was lost. */
--- a/core/src/main/kotlin/io/primroseflow/fleet/FleetScheduler.kt
+++ b/core/src/main/kotlin/io/primroseflow/fleet/FleetScheduler.kt
@@ -6,6 +6,7 @@
 import io.primroseflow.model.HostId
 import io.primroseflow.model.TargetId
 import io.primroseflow.model.TeamId
+import io.primroseflow.routing.RouteId
 import io.primroseflow.routing.RoutedPolicy
 import io.primroseflow.routing.RoutedService
 import io.primroseflow.routing.ServiceId
@@ -64,6 +65,7 @@
     private val quotas = TeamQuotas(tolerance)
     private val retryBudgets = HashMap<ServiceId, RetryBudget>()
     private var retriesAllowedSince = Instant.DISTANT_PAST
+    private val hedging = features.hedging?.let(::HedgeControl)
 
     /** Requests that wait, uncharged, for the outcome of others with a suspected part. */
     private val delayed = LinkedHashMap<SlotTicket, SlotRequest>()
@@ -114,6 +116,13 @@
         return hasChanged
     }
 
+    /**
+     * Returns the time for each route after which a first attempt counts as slow, so that its host
+     * may ask for a hedge; routes without enough recent answers are missing.
+     */
+    public fun hedgeDelays(now: Instant): Map<RouteId, Duration> =
+        hedging?.delays(now).orEmpty()
+
     /** Digest of the rates in force, see [HostRates.digest]. */
     public val rateDigest: Int get() = pacing.digest
 
@@ -193,6 +202,7 @@
             PartAdmission.Refused -> listOf(quarantined(request))
 
             PartAdmission.Delayed -> {
+                if (request.isHedge) return listOf(noSpareSlot(request))
                 delayed[request.ticket] = request
                 emptyList()
             }
@@ -203,6 +213,7 @@
         SlotDecision.Refuse(request.ticket, SlotRefusal.Quarantined, Duration.ZERO)
 
     private fun submitAdmitted(request: SlotRequest, now: Instant): List<SlotDecision> {
+        if (request.isHedge) return listOf(decideHedge(request, now))
         if (request.isRetry && !tryRetry(request.service, now)) {
             return listOf(refusal(request, SlotRefusal.NoRetryLeft, MIN_RETRY_AFTER))
         }
@@ -211,6 +222,33 @@
         return enqueue(request, now)
     }
 
+    /**
+     * Grants [request], a hedge, a slot that is free at once and that nothing waits for, or refuses it.
+     * Hedges are not charged to quotas, as the first attempt was.
+     */
+    private fun decideHedge(request: SlotRequest, now: Instant): SlotDecision {
+        val budget = hedging?.budgetOf(request.service)
+        if (budget?.hasRoom(now) != true) {
+            return refusal(request, SlotRefusal.NoHedgeLeft, MIN_RETRY_AFTER)
+        }
+        val service = stateOf(request.service)
+        val isWaitedFor =
+            service.queue.size > 0 || delayed.values.any { it.service == request.service }
+        // A hedge that names no first target could be granted that one.
+        if (isWaitedFor || request.excluded.isEmpty()) return noSpareSlot(request)
+        val estimated = service.estimate(request)
+        val target = service.targets.chooseOrNull(estimated, now) ?: return noSpareSlot(request)
+        if (!tryRetry(request.service, now)) {
+            return refusal(request, SlotRefusal.NoRetryLeft, MIN_RETRY_AFTER)
+        }
+        budget.recordHedge(now)
+        quarantine.onQueued(request, now)
+        return start(estimated, target, now)
+    }
+
+    private fun noSpareSlot(request: SlotRequest) =
+        refusal(request, SlotRefusal.NoSpareSlot, MIN_RETRY_AFTER)
+
     private fun tryRetry(service: ServiceId, now: Instant): Boolean =
         budgetOf(service)?.tryRetry(share.hosts, now) ?: true
 
@@ -258,7 +296,10 @@
         val target = service.targets.findOrNull(done.target)
         target?.release(done.estimated)
         when (end) {
-            is SlotEnd.Served -> service.recordServed(target, done.request, end)
+            is SlotEnd.Served -> {
+                service.recordServed(target, done.request, end)
+                hedging?.onServed(done.request, end, now)
+            }
 
             is SlotEnd.NotRun -> when {
                 end.isUnreachable -> {
@@ -474,18 +515,27 @@
             }
             quotas.recordUse(estimated.request, now)
             val isFirst = !estimated.request.isRetry
-            if (isFirst) budgetOf(estimated.request.service)?.recordFirstAttempt(now)
-            target.onGranted(estimated.request, now)
-            target.beginPrefill(estimated, now)
-            target.start(estimated)
-            quarantine.onGranted(estimated.request, target.target.id, now)
-            addRunning(ticket, RunningRequest(estimated, target.target.id, now))
+            if (isFirst) {
+                budgetOf(estimated.request.service)?.recordFirstAttempt(now)
+                hedging?.budgetOf(estimated.request.service)?.recordFirstAttempt(now)
+            }
+            decisions += start(estimated, target, now)
             service.onGrant(estimated.request.rank, now)
-            decisions += SlotDecision.Grant(ticket, target.target)
         }
         return decisions
     }
 
+    /** Takes a slot at [target] for [estimated]. */
+    private fun start(estimated: EstimatedRequest, target: TargetState, now: Instant): SlotDecision {
+        val request = estimated.request
+        target.onGranted(request, now)
+        target.beginPrefill(estimated, now)
+        target.start(estimated)
+        quarantine.onGranted(request, target.target.id, now)
+        addRunning(request.ticket, RunningRequest(estimated, target.target.id, now))
+        return SlotDecision.Grant(request.ticket, target.target)
+    }
+
     /**
      * Returns a request behind the first one and a target for it, or `null`. The first request may
      * only be passed over if no target could serve it even with free capacity.
--- a/daemon/src/main/kotlin/io/primroseflow/daemon/fleet/SharedScheduler.kt
+++ b/daemon/src/main/kotlin/io/primroseflow/daemon/fleet/SharedScheduler.kt
@@ -29,6 +29,7 @@
 import io.primroseflow.model.DataCentreId
 import io.primroseflow.model.HostId
 import io.primroseflow.model.TargetId
+import io.primroseflow.routing.RouteId
 import io.primroseflow.routing.RoutedPolicy
 import kotlin.time.Clock
 import kotlin.time.Duration
@@ -45,6 +46,9 @@
 /** Time after its last report for which a host keeps its share of the slots and quotas. */
 private val HOST_RETENTION: Duration = 15.seconds
 
+/** One of so many replies to a host carries the hedging delays, about one a second. */
+private const val REPLIES_PER_DELAYS = 5
+
 /** Maximum age of a target list kept from an earlier term; targets may have left since. */
 private val TARGET_LIST_MAX_AGE: Duration = 1.seconds
 
@@ -285,11 +289,18 @@
                 revision,
                 replicas,
                 shareOf(report.host),
-                clock.now().toEpochMilliseconds()
+                clock.now().toEpochMilliseconds(),
+                hedgeDelaysFor(report)
             )
         )
     }
 
+    /** Returns the delays of all routes with a part of the replies only, since they change slowly. */
+    private fun hedgeDelaysFor(report: PendingReport): Map<RouteId, Long>? {
+        if (features.hedging == null || report.number % REPLIES_PER_DELAYS != 0L) return null
+        return scheduler?.hedgeDelays(clock.now())?.mapValues { it.value.inWholeMilliseconds }
+    }
+
     private fun removeSilentHosts(active: FleetScheduler, now: Instant) {
         val silent = hosts.filterValues { now - it.heardAt > HOST_RETENTION }.keys
         for (host in silent) {
@@ -399,6 +410,8 @@
             SlotRefusal.TooLate,
             SlotRefusal.NoRetryLeft,
             SlotRefusal.HostStopping,
+            SlotRefusal.NoHedgeLeft,
+            SlotRefusal.NoSpareSlot,
             SlotRefusal.NoTarget -> true
         }
         return if (isKnown) reason else SlotRefusal.TooLate
--- a/daemon/src/main/kotlin/io/primroseflow/daemon/peer/PeerMessages.kt
+++ b/daemon/src/main/kotlin/io/primroseflow/daemon/peer/PeerMessages.kt
@@ -20,6 +20,7 @@
 import io.primroseflow.model.RequestId
 import io.primroseflow.model.TeamId
 import io.primroseflow.request.Outcome
+import io.primroseflow.routing.RouteId
 import io.primroseflow.timeline.HybridTime
 import kotlinx.serialization.SerialName
 import kotlinx.serialization.Serializable
@@ -256,6 +257,8 @@
      * @property share share of the fleet that the receiver schedules when it cannot reach the
      *   shared scheduler
      * @property atMillis time of the sender's clock in milliseconds, 0 if not sent
+     * @property hedgeDelays time in milliseconds for each route after which a first attempt counts as
+     *   slow; `null` if hedging is off or the former ones stay valid
      */
     @Serializable
     @SerialName("rpy")
@@ -265,7 +268,8 @@
         @SerialName("p") val policy: PolicyRevision,
         @SerialName("c") val replicas: List<HostId>,
         @SerialName("k") val share: FleetShare,
-        @SerialName("a") val atMillis: Long = 0
+        @SerialName("a") val atMillis: Long = 0,
+        @SerialName("h") val hedgeDelays: Map<RouteId, Long>? = null
     ) : Scheduling
 
     /** The scheduler does not know the requests with [tickets], which a report named as known. */
--- a/daemon/src/main/kotlin/io/primroseflow/daemon/peer/SchedulingRecords.kt
+++ b/daemon/src/main/kotlin/io/primroseflow/daemon/peer/SchedulingRecords.kt
@@ -65,7 +65,8 @@
     @SerialName("a") val waitedMillis: Long,
     @SerialName("g") val goalMillis: Long,
     @SerialName("b") val startByMillis: Long,
-    @SerialName("d") val deadlineMillis: Long
+    @SerialName("d") val deadlineMillis: Long,
+    @SerialName("h") val isHedge: Boolean = false
 )
 
 /** The encoded form of a [HeldSlot]. */
@@ -206,7 +207,8 @@
     waitedMillis = (now - arrivedAt).inWholeMilliseconds,
     goalMillis = (goal - now).inWholeMilliseconds,
     startByMillis = (startBy - now).inWholeMilliseconds,
-    deadlineMillis = (deadline - now).inWholeMilliseconds
+    deadlineMillis = (deadline - now).inWholeMilliseconds,
+    isHedge = isHedge
 )
 
 /**
@@ -232,7 +234,8 @@
     arrivedAt = now - waitedMillis.milliseconds,
     goal = now + goalMillis.milliseconds,
     startBy = now + startByMillis.milliseconds,
-    deadline = now + deadlineMillis.milliseconds
+    deadline = now + deadlineMillis.milliseconds,
+    isHedge = isHedge
 )
 
 /** Returns the held slots that [host] reported and that were received at [now], one a ticket. */
