Send hedges beside slow first attempts

Cause: a slow first attempt was left only when its target was silent for long. Change: HedgeRace runs a first attempt and, after the delay of its route, a hedge beside it; the first answer is forwarded and the other attempt is cancelled.

--- a/core/src/main/kotlin/io/primroseflow/fleet/FleetScheduler.kt
+++ b/core/src/main/kotlin/io/primroseflow/fleet/FleetScheduler.kt
@@ -120,8 +120,11 @@
      * Returns the time for each route after which a first attempt counts as slow, so that its host
      * may ask for a hedge; routes without enough recent answers are missing.
      */
-    public fun hedgeDelays(now: Instant): Map<RouteId, Duration> =
-        hedging?.delays(now).orEmpty()
+    public fun hedgeDelays(now: Instant): Map<RouteId, Duration> = hedging?.delays(now).orEmpty()
+
+    /** Returns the time for [route] as in [hedgeDelays], or `null`. */
+    public fun hedgeDelayOrNull(route: RouteId, now: Instant): Duration? =
+        hedging?.delayOrNull(route, now)
 
     /** Digest of the rates in force, see [HostRates.digest]. */
     public val rateDigest: Int get() = pacing.digest
@@ -526,7 +529,11 @@
     }
 
     /** Takes a slot at [target] for [estimated]. */
-    private fun start(estimated: EstimatedRequest, target: TargetState, now: Instant): SlotDecision {
+    private fun start(
+        estimated: EstimatedRequest,
+        target: TargetState,
+        now: Instant
+    ): SlotDecision {
         val request = estimated.request
         target.onGranted(request, now)
         target.beginPrefill(estimated, now)
--- a/core/src/main/kotlin/io/primroseflow/fleet/HedgeControl.kt
+++ b/core/src/main/kotlin/io/primroseflow/fleet/HedgeControl.kt
@@ -21,8 +21,9 @@
 internal class HedgeControl(private val limits: HedgingLimits) {
     private val budgets = HashMap<ServiceId, HedgeBudget>()
     private val latencies = object : LinkedHashMap<RouteId, LatencyPercentile>() {
-        override fun removeEldestEntry(eldest: MutableMap.MutableEntry<RouteId, LatencyPercentile>?) =
-            size > MAX_ROUTES
+        override fun removeEldestEntry(
+            eldest: MutableMap.MutableEntry<RouteId, LatencyPercentile>?
+        ) = size > MAX_ROUTES
     }
 
     /** Returns the budget of [service]. */
@@ -47,6 +48,9 @@
         }
     }
 
+    /** Returns the delay of [route], or `null` if too few recent answers are known. */
+    fun delayOrNull(route: RouteId, now: Instant): Duration? = latencies[route]?.estimateOrNull(now)
+
     /** Returns the delay of each route of which enough recent answers are known. */
     fun delays(now: Instant): Map<RouteId, Duration> = buildMap {
         for ((route, percentile) in latencies) {
--- a/daemon/src/main/kotlin/io/primroseflow/daemon/entry/EntryHost.kt
+++ b/daemon/src/main/kotlin/io/primroseflow/daemon/entry/EntryHost.kt
@@ -205,6 +205,9 @@
             "shared_scheduler" to { if (link.isAttached) 1 else 0 },
             "policy_revision" to { policy.revision.number }
         )
+        if (settings.features.hedging != null) {
+            metrics.addGauges("hedged_routes" to { slots.hedgedRoutes })
+        }
         settings.metricsPort?.let {
             metricsListener(loop, scope, log, metrics.page).listen(settings.address, it)
         }
@@ -271,7 +274,10 @@
 
     private fun handle(from: HostId, message: PeerMessage) {
         when (message) {
-            is PeerMessage.ReportReply -> link.onReply(from, message)
+            is PeerMessage.ReportReply -> {
+                link.onReply(from, message)
+                slots.onHedgeDelays(message)
+            }
 
             is PeerMessage.LeaderHint -> link.onHint(from, message)
 
@@ -449,6 +455,7 @@
             "route" to request.route.id,
             "team" to request.team?.id,
             "targets" to relay.targets,
+            "hedge" to relay.hedge.label.takeIf { settings.features.hedging != null },
             "tokens" to request.traits.promptTokens,
             "output_limit" to request.traits.outputLimit,
             "output_hint" to request.traits.outputHint,
--- a/daemon/src/main/kotlin/io/primroseflow/daemon/entry/EntryMetrics.kt
+++ b/daemon/src/main/kotlin/io/primroseflow/daemon/entry/EntryMetrics.kt
@@ -33,6 +33,17 @@
         "Dispatches to targets, retries included, by kind of request",
         "kind"
     )
+    private val hedges = page.counter(
+        "hedges_total",
+        "Hedges that were sent, by kind of request and whether they answered first",
+        "kind",
+        "result"
+    )
+    private val refusedHedges = page.counter(
+        "hedges_refused_total",
+        "Hedges that got no slot, by reason",
+        "reason"
+    )
     private val conditions = page.counter(
         "target_conditions_total",
         "Changes of the condition of a target that its answers stated, by the new condition",
@@ -70,11 +81,18 @@
         val kind = kindOf(request.route)
         completions.labelValues(kind, request.route.priority.toString(), outcome).inc()
         sends.labelValues(kind).inc(relay.targets.size.toLong())
+        recordHedge(kind, relay)
         observe(kind, "queued", relay.waitedFor)
         relay.beganAt?.let { observe(kind, "first_event", it - request.arrivedAt) }
         observe(kind, "whole", now - request.arrivedAt)
     }
 
+    private fun recordHedge(kind: String, relay: RequestRelay) {
+        val outcome = relay.hedge
+        if (outcome != HedgeOutcome.None) hedges.labelValues(kind, outcome.label).inc()
+        relay.hedgeRefusal?.let { refusedHedges.labelValues(labelOf(it)).inc() }
+    }
+
     private fun observe(kind: String, phase: String, time: Duration) {
         phases.labelValues(kind, phase).observe(time.toDouble(DurationUnit.SECONDS))
     }
--- a/daemon/src/main/kotlin/io/primroseflow/daemon/entry/EntryRefusal.kt
+++ b/daemon/src/main/kotlin/io/primroseflow/daemon/entry/EntryRefusal.kt
@@ -1,6 +1,7 @@
 package io.primroseflow.daemon.entry
 
 import io.primroseflow.daemon.http.HttpField
+import io.primroseflow.fleet.SlotRefusal
 import java.util.Locale
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
@@ -70,3 +71,23 @@
         return """{"error":{"code":"$code","run":"$run"}}""".encodeToByteArray()
     }
 }
+
+/** Returns what the caller is told of a slot request that was refused for this reason. */
+internal fun SlotRefusal.toEntryRefusal(): EntryRefusal = when (this) {
+    SlotRefusal.OverQuota -> EntryRefusal.OverQuota
+
+    SlotRefusal.TooLate -> EntryRefusal.DeadlineUnreachable
+
+    SlotRefusal.RateLimited -> EntryRefusal.TargetsRateLimited
+
+    SlotRefusal.NoTarget -> EntryRefusal.NoTarget
+
+    // Requests other than hedges are not refused for the last two.
+    SlotRefusal.NoRetryLeft,
+    SlotRefusal.NoHedgeLeft,
+    SlotRefusal.NoSpareSlot -> EntryRefusal.TargetsBusy
+
+    SlotRefusal.HostStopping -> EntryRefusal.HostStopping
+
+    SlotRefusal.Quarantined -> EntryRefusal.Quarantined
+}
--- a/daemon/src/main/kotlin/io/primroseflow/daemon/entry/RequestRelay.kt
+++ b/daemon/src/main/kotlin/io/primroseflow/daemon/entry/RequestRelay.kt
@@ -1,13 +1,10 @@
 package io.primroseflow.daemon.entry
 
-import io.primroseflow.daemon.fleet.DispatchTraits
 import io.primroseflow.daemon.http.HttpAnswerHead
 import io.primroseflow.daemon.http.HttpConnection
 import io.primroseflow.daemon.target.Dispatch
 import io.primroseflow.daemon.target.ExchangeListener
 import io.primroseflow.daemon.target.ExchangeResult
-import io.primroseflow.daemon.target.ResumedStream
-import io.primroseflow.fleet.AnswerLoss
 import io.primroseflow.fleet.FleetTarget
 import io.primroseflow.fleet.SlotDecision
 import io.primroseflow.fleet.SlotEnd
@@ -15,81 +12,34 @@
 import io.primroseflow.fleet.SlotRequest
 import io.primroseflow.model.TargetId
 import io.primroseflow.routing.Repeatability
-import io.primroseflow.routing.RoutedTeam
-import io.primroseflow.routing.ServiceRoute
-import java.io.IOException
 import kotlin.time.Duration
-import kotlin.time.Duration.Companion.milliseconds
-import kotlin.time.Duration.Companion.seconds
 import kotlin.time.Instant
-import kotlinx.coroutines.CancellationException
-import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.CoroutineStart
-import kotlinx.coroutines.Deferred
 import kotlinx.coroutines.async
-import kotlinx.coroutines.selects.select
 import kotlinx.coroutines.supervisorScope
-import kotlinx.coroutines.withTimeoutOrNull
-
-/**
- * Maximum number of dispatches of a request beyond its allowed attempts. A dispatch that the target
- * does not run counts as a dispatch only, not as an attempt.
- */
-private const val MAX_EXTRA_DISPATCHES = 2
-
-/** Time without an event after which another target is sought to resume a resumable stream. */
-private val RESUMABLE_GAP_TIMEOUT: Duration = 1_500.milliseconds
-
-/** Time without a first event after which another target is sought for a repeatable stream. */
-private val FIRST_EVENT_TIMEOUT: Duration = 2.seconds
-
-/** Additional time for each token of the prompt; slow engines take 0.033 ms (30 per ms). */
-private val FIRST_EVENT_TIMEOUT_PER_TOKEN: Duration = 0.05.milliseconds
-
-/** Time without an answer after which another target is sought for an idempotent request. */
-private val RETRY_TIMEOUT: Duration = 300.milliseconds
-
-/** Time from the first event of an answer for which it counts as just begun. */
-private val START_SPAN: Duration = 200.milliseconds
-
-/**
- * Maximum idle time of a connection that is reused for a non-idempotent request, which must not be
- * sent again if the connection turns out to be broken.
- */
-private val NON_IDEMPOTENT_MAX_IDLE: Duration = 2.seconds
-
-/**
- * Time in which another target may reject the request of a silent one, which is given up after it.
- * Two targets must not work on a request for longer than 400 ms.
- */
-private val REJECTION_TIMEOUT: Duration = 250.milliseconds
 
 /**
  * Relays one request: acquires a slot, dispatches the request to the target, forwards the answer
  * to the caller and retries elsewhere where that is allowed. At most one dispatch is in progress,
- * but for a short time in which another target may reject the request of a silent one.
+ * but for a short time in which another target may reject the request of a silent one, and for the
+ * time of a [HedgeRace].
  *
  * @param closes whether the caller's connection is closed after the answer
  */
 internal class RequestRelay(
     private val context: RelayContext,
     private val request: RoutedRequest,
-    private val connection: HttpConnection,
-    private val closes: Boolean
+    connection: HttpConnection,
+    closes: Boolean
 ) {
     private val clock = context.clock
     private val route = request.route
     private val excluded = HashSet<TargetId>()
     private val memory = context.answers.openShare()
-    private var lastEventId: String? = null
-    private var hasStream = false
-    private var mediaType: String? = null
-
-    /** Whether another target can go on with what was forwarded of a stream. */
-    private var isStreamResumable = true
-    private var dispatches = 0
-    private var attempts = 0
+    private val answer = CallerAnswer(connection, closes)
+    private val counts = AttemptCounts(route.maxAttempts)
+    private val isRepeatable = route.repeatability != Repeatability.NonIdempotent
 
     /** Whether the cost of the request was charged to its team's quota. */
     private var isCharged = false
@@ -101,15 +51,18 @@
     /** Dispatch to a target that is to take over from a silent one, `null` if there is none. */
     private var replacement: Replacement? = null
 
-    /** Number of dispatches whose writing has started and that have not ended. */
-    private var writtenCount = 0
+    /** Whether a silent target is to be replaced, so that no hedge is sent. */
+    private var isSeekingReplacement = false
+
+    /** The attempts of the request that may be hedged, `null` before or if there are none. */
+    private var race: HedgeRace? = null
 
     /** Whether a dispatch has arrived at a target, so that the next one counts as a retry. */
     private var hasReachedTarget = false
     private var lastCause = ""
 
     /** Whether a target may have run the request. */
-    val mayHaveRun: Boolean get() = attempts > 0 || writtenCount > 0
+    val mayHaveRun: Boolean get() = counts.mayHaveRun
 
     /**
      * Whether a target is working on a request that must not be cancelled when its caller
@@ -119,7 +72,13 @@
         private set
 
     /** Targets that the request was dispatched to, in order. */
-    val targets = ArrayList<TargetId>()
+    val targets: List<TargetId> get() = counts.targets
+
+    /** What became of the hedge of the request. */
+    val hedge: HedgeOutcome get() = race?.outcome ?: HedgeOutcome.None
+
+    /** The reason for which a hedge was refused, `null` if none was. */
+    val hedgeRefusal: SlotRefusal? get() = race?.refusal
 
     /** Total time spent waiting for slots. */
     var waitedFor: Duration = Duration.ZERO
@@ -161,12 +120,42 @@
 
             is SlotDecision.Grant -> {
                 isCharged = true
-                val listener = Listener(decision.target.id, scope)
-                resultOrNull(decision.target.id, dispatch(slot.request, decision.target, listener))
+                val granted = GrantedSlot(slot.request, decision.target)
+                val slowAfter = hedgeDelayOrNull(slot.request)
+                if (slowAfter == null) {
+                    val listener = Listener(decision.target.id, scope)
+                    resultOrNull(decision.target.id, dispatch(granted, listener))
+                } else {
+                    resultOfRace(granted, slowAfter, scope)
+                }
             }
         }
     }
 
+    /** Returns the time after which [first] may be hedged, `null` if it may not. */
+    private fun hedgeDelayOrNull(first: SlotRequest): Duration? {
+        val isHedgeable = when (route.repeatability) {
+            Repeatability.NonIdempotent -> false
+            Repeatability.Idempotent -> !route.isStream
+            Repeatability.Resumable -> route.isStream
+        }
+        if (!isHedgeable || first.isRetry || hedge != HedgeOutcome.None) return null
+        if (answer.hasStream || !canAddAttempt()) return null
+        return context.slots.hedgeDelayOrNull(route.id)
+    }
+
+    private suspend fun resultOfRace(
+        slot: GrantedSlot,
+        slowAfter: Duration,
+        scope: CoroutineScope
+    ): RelayResult? {
+        val begun = HedgeRace(RacingRequest(scope), slowAfter)
+        race = begun
+        val results = begun.run(slot)
+        results.dropLast(1).forEach { recordFailure(it.target, it.result) }
+        return results.last().let { resultOrNull(it.target, it.result) }
+    }
+
     /** Lets [taken] answer the caller and returns the result, or `null` if it is retried. */
     private suspend fun resultOf(taken: Replacement): RelayResult? {
         replacement = null
@@ -192,92 +181,49 @@
         replacement = null
     }
 
-    private fun nextSlotRequest(without: Set<TargetId>, isRetry: Boolean): SlotRequest {
-        val traits = request.traits
-        // After a stream has begun, the progress timeout starts anew with each slot request.
-        val waitsSince = if (hasStream) clock.now() else request.arrivedAt
-        return SlotRequest(
-            ticket = context.slots.nextTicket(),
-            service = request.service.id,
-            route = route.id,
-            team = request.team?.id,
-            dataCentre = context.dataCentre,
-            rank = rankOf(route, request.team),
-            tier = route.priority,
-            cost = if (isCharged) 0 else request.cost,
-            isStream = route.isStream,
-            promptTokens = traits.promptTokens ?: 0,
-            outputHint = traits.outputHint,
-            outputLimit = traits.outputLimit ?: 0,
-            parts = traits.parts,
+    private fun nextSlotRequest(without: Set<TargetId>, isRetry: Boolean): SlotRequest =
+        slotRequestOf(
+            context,
+            request,
             excluded = without.toSet(),
             isRetry = isRetry,
-            arrivedAt = request.arrivedAt,
-            goal = request.arrivedAt + route.latencyGoal,
-            startBy = minOf(request.deadline, waitsSince + route.callerProgressTimeout),
-            deadline = request.deadline
+            isCharged = isCharged,
+            hasStream = answer.hasStream
         )
-    }
 
     private suspend fun resultOfRefusal(decision: SlotDecision.Refuse): RelayResult {
         lastCause = "refused: ${decision.reason}"
-        if (hasStream) return RelayResult.Broken(lastCause)
-        lastFailure?.let { return forward(it) }
+        if (answer.hasStream) return RelayResult.Broken(lastCause)
+        lastFailure?.let { return answer.forward(it) }
         if (mayHaveRun) return RelayResult.Refused(EntryRefusal.AnswerLost)
-        val refusal = when (decision.reason) {
-            SlotRefusal.OverQuota -> EntryRefusal.OverQuota
-
-            SlotRefusal.TooLate -> EntryRefusal.DeadlineUnreachable
-
-            SlotRefusal.RateLimited -> EntryRefusal.TargetsRateLimited
-
-            SlotRefusal.NoTarget -> EntryRefusal.NoTarget
-
-            SlotRefusal.NoRetryLeft -> EntryRefusal.TargetsBusy
-
+        val refusal = decision.reason.toEntryRefusal()
+        return when (refusal) {
             // Another host may serve the request at once.
-            SlotRefusal.HostStopping -> return RelayResult.Refused(EntryRefusal.HostStopping)
+            EntryRefusal.HostStopping,
 
             // The caller is not told when to come again, since that would not help it.
-            SlotRefusal.Quarantined -> return RelayResult.Refused(EntryRefusal.Quarantined)
+            EntryRefusal.Quarantined -> RelayResult.Refused(refusal)
+
+            else -> RelayResult.Refused(refusal, decision.retryAfter)
         }
-        return RelayResult.Refused(refusal, decision.retryAfter)
     }
 
-    private suspend fun dispatch(
-        slotRequest: SlotRequest,
-        target: FleetTarget,
-        listener: Listener
-    ): ExchangeResult {
+    private suspend fun dispatch(slot: GrantedSlot, listener: Listener): ExchangeResult {
+        val target = slot.target
         val start = clock.now()
         var end: SlotEnd = SlotEnd.Cancelled
         var result: ExchangeResult? = null
-        dispatches++
-        targets += target.id
+        counts.onDispatch(target.id)
         try {
             result = context.exchanger.run(dispatchTo(target, listener), listener)
             if (result is ExchangeResult.Failed) logFailure(target.id, result, listener)
-            end = slotEnd(result, start, listener)
+            val times = AttemptTimes(start, listener.firstAt, clock.now())
+            end = slotEndOf(result, times, request.service.eventTokens)
             return result
         } finally {
-            if (listener.isWritten) writtenCount--
-            when (result) {
-                is ExchangeResult.NotRun -> Unit
-
-                ExchangeResult.Withheld -> {
-                    dispatches--
-                    targets.removeAt(targets.lastIndexOf(target.id))
-                }
-
-                is ExchangeResult.Buffered,
-                is ExchangeResult.Streamed,
-                is ExchangeResult.Failed -> attempts++
-
-                // A dispatch that was cancelled may have been run.
-                null -> if (listener.isWritten) attempts++
-            }
+            counts.onEnded(target.id, result, listener.isWritten)
             isUncancellable = false
-            context.slots.release(slotRequest.ticket, end)
+            context.slots.release(slot.request.ticket, end)
         }
     }
 
@@ -304,110 +250,67 @@
     }
 
     private fun dispatchTo(target: FleetTarget, listener: Listener): Dispatch {
-        val head = request.incoming.head
-        val timeLeft = (request.deadline - clock.now()).coerceAtLeast(1.milliseconds)
-        val traits = DispatchTraits(timeLeft, target.id, request.team?.id, lastEventId)
-        val isRepeatable = route.repeatability != Repeatability.NonIdempotent
-        // Without another target to retry at, a slow answer is no reason to give up early.
-        val attemptsWithThis = attempts + if (listener.isReplacement) 2 else 1
-        val canRetryElsewhere = isRepeatable && attemptsWithThis < route.maxAttempts &&
-            dispatches < route.maxAttempts + MAX_EXTRA_DISPATCHES
-        return Dispatch(
-            target = target.id,
-            id = request.traits.id,
-            method = head.method,
-            path = head.target,
-            fields = context.dialect.dispatchFields(head.fields.endToEnd(), traits),
-            body = request.incoming.body,
-            address = target.address,
-            isStream = route.isStream,
-            resumed = lastEventId?.let { ResumedStream(it, mediaType) },
-            memory = memory,
-            maxIdle = when {
-                // A new connection shows that the target has not ended.
-                listener.isReplacement -> Duration.ZERO
-
-                isRepeatable -> Duration.INFINITE
-
-                else -> NON_IDEMPOTENT_MAX_IDLE
-            },
-            firstTimeout = if (canRetryElsewhere) firstTimeout(timeLeft) else timeLeft,
-            gapTimeout = if (canRetryElsewhere) RESUMABLE_GAP_TIMEOUT else timeLeft,
-            isReplaceable = canRetryElsewhere
+        val inProgress = if (listener.isSecond) 2 else 1
+        return dispatchOf(
+            context,
+            request,
+            target,
+            answer.resumed,
+            memory,
+            isReplacement = listener.isReplacement,
+            canRetryElsewhere = isRepeatable && counts.allowsAnother(inProgress)
         )
     }
 
-    private fun firstTimeout(timeLeft: Duration): Duration {
-        if (!route.isStream) return minOf(RETRY_TIMEOUT, timeLeft / 2)
-        return FIRST_EVENT_TIMEOUT +
-            FIRST_EVENT_TIMEOUT_PER_TOKEN * (request.traits.promptTokens ?: 0)
-    }
-
-    private fun slotEnd(result: ExchangeResult, start: Instant, listener: Listener): SlotEnd =
-        when (result) {
-            ExchangeResult.Withheld -> SlotEnd.NotRun(isUnreachable = false)
-
-            is ExchangeResult.NotRun -> SlotEnd.NotRun(result.isUnreachable, result.isReplaced)
-
-            is ExchangeResult.Failed -> SlotEnd.Lost(lossOf(result, listener))
-
-            is ExchangeResult.Buffered ->
-                if (result.head.status >= FIRST_SERVER_ERROR) {
-                    SlotEnd.Failed
-                } else {
-                    served(start, clock.now(), tokens = 0)
-                }
-
-            is ExchangeResult.Streamed -> served(
-                start,
-                listener.firstAt ?: clock.now(),
-                result.events * request.service.eventTokens
-            )
-        }
-
-    private fun lossOf(failure: ExchangeResult.Failed, listener: Listener): AnswerLoss {
-        if (!failure.isBroken) return AnswerLoss.Silent
-        val firstAt = listener.firstAt ?: return AnswerLoss.AtStart
-        return if (clock.now() - firstAt < START_SPAN) AnswerLoss.AtStart else AnswerLoss.Midway
-    }
-
-    private fun served(start: Instant, first: Instant, tokens: Int) = SlotEnd.Served(
-        firstMillis = (first - start).inWholeMilliseconds.toInt(),
-        totalMillis = (clock.now() - start).inWholeMilliseconds.toInt(),
-        outputTokens = tokens
-    )
-
     /**
      * Returns the result of the relay after [result] of [target], or `null` if the request is
      * retried or has a replacement already.
      */
     private suspend fun resultOrNull(target: TargetId, result: ExchangeResult): RelayResult? =
         when (result) {
+            is ExchangeResult.Streamed -> answer.endStream()
+
+            is ExchangeResult.Buffered -> resultOfAnswer(target, result)
+
             ExchangeResult.Withheld -> {
-                onWithheld(target)
+                recordFailure(target, result)
                 null
             }
 
-            is ExchangeResult.Streamed -> {
-                writeToCaller { connection.finishChunked() }
-                RelayResult.Answered(OK)
-            }
-
-            is ExchangeResult.Buffered -> resultOfAnswer(target, result)
-
             is ExchangeResult.NotRun -> {
-                onNotRun(target, result)
+                recordFailure(target, result)
                 if (canRetry()) null else failureResult()
             }
 
+            is ExchangeResult.Failed -> {
+                recordFailure(target, result)
+                if (isRepeatable && answer.isResumable && canRetry()) null else failureResult()
+            }
+        }
+
+    /** Records that [target] did not answer the request, by [result]. */
+    private fun recordFailure(target: TargetId, result: ExchangeResult) {
+        when (result) {
+            ExchangeResult.Withheld -> onWithheld(target)
+
+            is ExchangeResult.NotRun -> onNotRun(target, result)
+
             is ExchangeResult.Failed -> {
                 lastCause = result.cause
                 exclude(target)
-                val isRepeatable = route.repeatability != Repeatability.NonIdempotent
                 hasReachedTarget = true
-                if (isRepeatable && isStreamResumable && canRetry()) null else failureResult()
             }
+
+            is ExchangeResult.Buffered -> {
+                lastFailure = result
+                lastCause = "answered ${result.head.status}"
+                exclude(target)
+                hasReachedTarget = true
+            }
+
+            is ExchangeResult.Streamed -> Unit
         }
+    }
 
     private fun onNotRun(target: TargetId, result: ExchangeResult.NotRun) {
         lastCause = result.cause
@@ -420,34 +323,17 @@
         result: ExchangeResult.Buffered
     ): RelayResult? {
         val status = result.head.status
-        if (hasStream) return RelayResult.Broken("status $status for a resumed stream")
-        val isFailure = status >= FIRST_SERVER_ERROR
-        val isRepeatable = route.repeatability != Repeatability.NonIdempotent
-        if (isFailure && isRepeatable) {
-            lastFailure = result
-            lastCause = "answered $status"
-            exclude(target)
-            hasReachedTarget = true
+        if (answer.hasStream) return RelayResult.Broken("status $status for a resumed stream")
+        if (status >= FIRST_SERVER_ERROR && isRepeatable) {
+            recordFailure(target, result)
             if (canRetry()) return null
         }
-        return forward(result)
-    }
-
-    private suspend fun forward(result: ExchangeResult.Buffered): RelayResult {
-        writeToCaller {
-            connection.respond(
-                status = result.head.status,
-                fields = result.head.fields.endToEnd(),
-                body = result.body,
-                closeAfter = closes
-            )
-        }
-        return RelayResult.Answered(result.head.status)
+        return answer.forward(result)
     }
 
     private suspend fun failureResult(): RelayResult {
-        if (hasStream) return RelayResult.Broken(lastCause)
-        lastFailure?.let { return forward(it) }
+        if (answer.hasStream) return RelayResult.Broken(lastCause)
+        lastFailure?.let { return answer.forward(it) }
         val refusal = if (mayHaveRun) EntryRefusal.AnswerLost else EntryRefusal.TargetsBusy
         return RelayResult.Refused(refusal)
     }
@@ -460,32 +346,21 @@
         if (context.conditions.isAvailable(target)) excluded += target
     }
 
-    private fun canRetry(): Boolean {
-        if (replacement != null) return true
-        if (
-            attempts >= route.maxAttempts ||
-            dispatches >= route.maxAttempts + MAX_EXTRA_DISPATCHES
-        ) {
-            return false
-        }
-        if (clock.now() >= request.deadline) return false
-        return true
-    }
+    private fun canRetry(): Boolean =
+        replacement != null || (counts.allowsAnother() && clock.now() < request.deadline)
 
-    /** Runs [write] so that a failure of the caller's connection is not taken for the target's. */
-    private suspend fun writeToCaller(write: suspend () -> Unit) {
-        try {
-            write()
-        } catch (e: IOException) {
-            throw CallerDisconnectedException(e)
-        }
-    }
+    /** Returns whether a dispatch may be added to the one that is in progress. */
+    private fun canAddAttempt() = counts.allowsAnother(inProgress = 1) && canRetry()
 
-    /** @param own what the exchange is part of if it is to take over from a silent target */
+    /**
+     * @param own what the exchange is part of if it is to take over from a silent target
+     * @param racing the attempt that the exchange is of if the request may be hedged
+     */
     private inner class Listener(
         private val target: TargetId,
         private val scope: CoroutineScope,
-        private val own: Replacement? = null
+        private val own: Replacement? = null,
+        private val racing: HedgeRace.Attempt? = null
     ) : ExchangeListener {
         var firstAt: Instant? = null
             private set
@@ -496,22 +371,23 @@
         /** Whether the exchange waits until a silent target is given up. */
         val isReplacement: Boolean get() = own != null && !own.isInCharge.isCompleted
 
+        /** Whether another dispatch is in progress beside this one. */
+        val isSecond: Boolean get() = isReplacement || race?.isOpen == true
+
         override val hasReplacement: Boolean
             get() = !isReplacement && replacement?.isSent == true
 
         override fun onWriteStarting() {
             own?.onWriteStarting()
+            racing?.onWriteStarting()
             isWritten = true
-            writtenCount++
-            isUncancellable = !route.isStream && route.repeatability == Repeatability.NonIdempotent
+            counts.onWriteStarting()
+            isUncancellable = !route.isStream && !isRepeatable
         }
 
         override suspend fun onStream(head: HttpAnswerHead) {
             awaitTurn()
-            if (hasStream) return
-            hasStream = true
-            mediaType = head.fields.findOrNull("Content-Type")
-            writeToCaller { connection.startChunked(head.status, head.fields.endToEnd(), closes) }
+            answer.beginStream(head)
         }
 
         override suspend fun onEvents(
@@ -523,25 +399,32 @@
             awaitTurn()
             if (firstAt == null) firstAt = clock.now()
             if (beganAt == null) beganAt = firstAt
-            isStreamResumable = isResumable
-            // From here on, the events are in the output even if the write is cancelled.
-            lastEventId = lastId ?: lastEventId
-            writeToCaller { connection.writeChunk(bytes, 0, length) }
+            answer.forwardEvents(bytes, length, lastId, isResumable)
         }
 
         /** Waits until no other exchange may forward events. */
         private suspend fun awaitTurn() {
+            racing?.claim()
             own?.hasAnswered?.complete(Unit)
             own?.isInCharge?.await()
             while (hasReplacement) replacement?.isRejected?.await()
         }
 
         override suspend fun awaitReplacement(): Boolean {
-            while (!isReplacement && isStreamResumable && canAddAttempt()) {
+            isSeekingReplacement = true
+            try {
+                return findReplacement()
+            } finally {
+                isSeekingReplacement = false
+            }
+        }
+
+        private suspend fun findReplacement(): Boolean {
+            while (!isSecond && answer.isResumable && canAddAttempt()) {
                 val slotRequest = nextSlotRequest(excluded + target, isRetry = true)
                 val decision = context.slots.acquire(slotRequest)
                 if (decision !is SlotDecision.Grant) return false
-                val candidate = Replacement(decision.target)
+                val candidate = replacementAt(decision.target)
                 replacement = candidate
                 candidate.exchange = scope.async(start = CoroutineStart.UNDISPATCHED) {
                     exchangeOrNull(slotRequest, candidate)
@@ -556,11 +439,9 @@
             return false
         }
 
-        /** Returns whether a dispatch may be added to this one, which is in progress. */
-        private fun canAddAttempt() = attempts + 1 < route.maxAttempts && canRetry()
-
         private suspend fun exchangeOrNull(slotRequest: SlotRequest, candidate: Replacement) = try {
-            dispatch(slotRequest, candidate.target, Listener(candidate.target.id, scope, candidate))
+            val slot = GrantedSlot(slotRequest, candidate.target)
+            dispatch(slot, Listener(candidate.target.id, scope, candidate))
         } catch (_: StaleReplacementException) {
             null
         }
@@ -570,9 +451,8 @@
             when (val result = candidate.exchange.await()) {
                 null -> Unit
 
-                ExchangeResult.Withheld -> onWithheld(candidate.target.id)
-
-                is ExchangeResult.NotRun -> onNotRun(candidate.target.id, result)
+                ExchangeResult.Withheld,
+                is ExchangeResult.NotRun -> recordFailure(candidate.target.id, result)
 
                 is ExchangeResult.Buffered,
                 is ExchangeResult.Streamed,
@@ -584,66 +464,29 @@
         override fun onReplacementUnused() = dropReplacement()
     }
 
-    /** A dispatch to [target] that starts while a silent target is still read. */
-    private inner class Replacement(val target: FleetTarget) {
-        private val resumedFrom = lastEventId
-        private val hadStream = hasStream
-        private val sent = CompletableDeferred<Unit>()
-
-        lateinit var exchange: Deferred<ExchangeResult?>
-
-        /** Completed when the answer begins. */
-        val hasAnswered = CompletableDeferred<Unit>()
-
-        /** Completed when the silent target was given up. */
-        val isInCharge = CompletableDeferred<Unit>()
+    private fun replacementAt(target: FleetTarget): Replacement {
+        val resumedFrom = answer.lastEventId
+        val hadStream = answer.hasStream
+        return Replacement(target) {
+            val hasMoved = answer.lastEventId != resumedFrom || answer.hasStream != hadStream
+            hasMoved || !answer.isResumable
+        }
+    }
 
-        /** Completed when the silent target may go on. */
-        val isRejected = CompletableDeferred<Unit>()
+    private inner class RacingRequest(private val scope: CoroutineScope) : HedgeableRequest {
+        override val isStream: Boolean get() = route.isStream
 
-        /** Whether the target may work on the request, unless it rejects it. */
-        val isSent: Boolean get() = sent.isCompleted
+        override fun canHedge(): Boolean =
+            replacement == null && !isSeekingReplacement && canAddAttempt()
 
-        /** @throws StaleReplacementException if the silent target has gone on in the meantime */
-        fun onWriteStarting() {
-            val isStale =
-                lastEventId != resumedFrom || hasStream != hadStream || !isStreamResumable
-            if (isStale) throw StaleReplacementException()
-            sent.complete(Unit)
+        override suspend fun acquireHedge(first: TargetId): Pair<SlotRequest, SlotDecision> {
+            val slotRequest = nextSlotRequest(excluded + first, isRetry = true).copy(isHedge = true)
+            return slotRequest to context.slots.acquire(slotRequest)
         }
 
-        /** Waits until the target has answered or rejected the request, or had the time to. */
-        suspend fun awaitDecision() {
-            select {
-                exchange.onJoin {}
-                sent.onAwait {}
-            }
-            withTimeoutOrNull(REJECTION_TIMEOUT) {
-                select {
-                    exchange.onJoin {}
-                    hasAnswered.onAwait {}
-                }
-            }
-        }
+        override suspend fun dispatch(slot: GrantedSlot, attempt: HedgeRace.Attempt) =
+            dispatch(slot, Listener(slot.target.id, scope, racing = attempt))
     }
 
-    /** Ends a dispatch that would have repeated events before it is sent. */
-    private class StaleReplacementException : CancellationException("the target has gone on")
-
     private class DecidedSlot(val request: SlotRequest, val decision: SlotDecision)
-
-    private companion object {
-        const val OK = 200
-        const val FIRST_SERVER_ERROR = 500
-    }
 }
-
-/** Number of ranks within one priority of a team; priorities of routes are smaller. */
-private const val RANKS_PER_PRIORITY = 100
-
-/**
- * Returns the rank of a request in the queue for slots: ordered by the priority of its team, or of
- * the route if the team has none, and then by the priority of the route.
- */
-internal fun rankOf(route: ServiceRoute, team: RoutedTeam?): Int =
-    (team?.priority ?: route.priority) * RANKS_PER_PRIORITY + route.priority
--- a/daemon/src/main/kotlin/io/primroseflow/daemon/entry/SlotClient.kt
+++ b/daemon/src/main/kotlin/io/primroseflow/daemon/entry/SlotClient.kt
@@ -35,12 +35,14 @@
 import io.primroseflow.model.HostId
 import io.primroseflow.model.TargetId
 import io.primroseflow.model.TeamId
+import io.primroseflow.routing.RouteId
 import io.primroseflow.routing.RoutedPolicy
 import io.primroseflow.routing.ServiceId
 import kotlin.random.Random
 import kotlin.time.Clock
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
 import kotlin.time.Instant
 import kotlinx.coroutines.CompletableDeferred
 
@@ -50,6 +52,12 @@
  */
 private const val LOCAL_BURST_FRACTION = 0.25
 
+/**
+ * Age from which the hedging delays of the shared scheduler no longer count. They come once a second,
+ * every three seconds to a host without requests.
+ */
+private val HEDGE_DELAYS_RETENTION: Duration = 5.seconds
+
 /**
  * Acquires slots for the requests of this host: from the shared scheduler while the host is
  * attached to it, otherwise from a local scheduler that grants this host's share of the slots and
@@ -101,6 +109,10 @@
     private var policy: RoutedPolicy? = null
     private var isRefusing = false
 
+    /** Delays that the shared scheduler has sent at [hedgeDelaysAt]. */
+    private var hedgeDelays: Map<RouteId, Long> = emptyMap()
+    private var hedgeDelaysAt = Instant.DISTANT_PAST
+
     /** Grants for a former process of this host must not meet the tickets of this one. */
     private var lastTicketNumber = random.firstNumberOfProcess()
 
@@ -118,6 +130,9 @@
     /** Number of prompt parts whose requests are held back, as far as this host knows. */
     val quarantinedCount: Int get() = quarantine.quarantined.size
 
+    /** Number of routes of which the shared scheduler has sent a hedging delay. */
+    val hedgedRoutes: Int get() = hedgeDelays.size
+
     /** Number of requests that wait for a slot. */
     val waitingCount: Int get() = waiting.size
 
@@ -150,6 +165,25 @@
         }
     }
 
+    /**
+     * Returns the time after which a first attempt of [route] counts as slow, so that it may be
+     * hedged; `null` if hedging is off or the scheduler does not know the time.
+     */
+    fun hedgeDelayOrNull(route: RouteId): Duration? {
+        if (features.hedging == null) return null
+        val now = clock.now()
+        localScheduler?.let { return it.hedgeDelayOrNull(route, now) }
+        if (now - hedgeDelaysAt > HEDGE_DELAYS_RETENTION) return null
+        return hedgeDelays[route]?.coerceAtLeast(1)?.milliseconds
+    }
+
+    /** Adopts the hedging delays in [reply], if it carries any. */
+    fun onHedgeDelays(reply: PeerMessage.ReportReply) {
+        if (reply.term != link.term) return
+        hedgeDelays = reply.hedgeDelays ?: return
+        hedgeDelaysAt = clock.now()
+    }
+
     /** Refuses all waiting and later requests, as this host stops and has no time to relay them. */
     fun refuseAll() {
         isRefusing = true
@@ -224,6 +258,7 @@
      */
     fun onAttached() {
         localScheduler = null
+        hedgeDelays = emptyMap()
         quarantine.forgetQueued()
     }
 
--- a/daemon/src/test/kotlin/io/primroseflow/daemon/entry/FakeTarget.kt
+++ b/daemon/src/test/kotlin/io/primroseflow/daemon/entry/FakeTarget.kt
@@ -18,6 +18,15 @@
 ) {
     val id: String get() = fields["x-request-id"].orEmpty()
 
+    /** Waits until the other side has closed the connection on which the request was received. */
+    fun awaitClose() {
+        try {
+            while (socket.getInputStream().read() >= 0) continue
+        } catch (_: IOException) {
+            // A reset connection is closed, too.
+        }
+    }
+
     /** Resets the connection on which the request was received. */
     fun reset() {
         socket.setSoLinger(true, 0)
--- /dev/null
+++ b/daemon/src/test/kotlin/io/primroseflow/daemon/entry/HedgedRequestsTest.kt
@@ -0,0 +1,351 @@
+package io.primroseflow.daemon.entry
+
+import io.kotest.core.spec.style.DescribeSpec
+import io.kotest.matchers.collections.shouldBeIn
+import io.kotest.matchers.shouldBe
+import io.kotest.matchers.string.shouldContain
+import io.kotest.matchers.string.shouldEndWith
+import io.kotest.matchers.string.shouldStartWith
+import io.primroseflow.fleet.SchedulingFeatures
+import io.primroseflow.limits.HedgingLimits
+import java.io.OutputStream
+import java.util.concurrent.CountDownLatch
+import java.util.concurrent.CyclicBarrier
+import java.util.concurrent.TimeUnit
+import java.util.concurrent.atomic.AtomicInteger
+import kotlin.concurrent.thread
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+import kotlinx.collections.immutable.toPersistentList
+
+/** Number of answers from which the delay of a route is known. */
+private const val WARM_UP_CALLS = 60
+
+/** Time that is longer than any delay of a route and shorter than any time-out of a target. */
+private const val SLOW_MILLIS = 200L
+
+private const val HANG_LIMIT_SECONDS = 10L
+
+private fun ReceivedRequest.isStream() = "/resumed/" in line || "/stream/" in line
+
+/** Answers in full: a stream of six events, whose data is [text] and their number, or [text]. */
+private fun ReceivedRequest.answerTo(output: OutputStream, text: String): Boolean {
+    if (isStream()) {
+        output.beginStream(id)
+        output.chunk(events(1..6).replace("data: e", "data: $text"))
+        output.endStream()
+    } else {
+        output.answer(id, body = text)
+    }
+    return true
+}
+
+/** Two targets that answer at once until they act in a race: [first] is the one that is sent to first. */
+private class Race(val first: Behaviour, val second: Behaviour) {
+    private val received = AtomicInteger()
+
+    @Volatile
+    private var isOn = false
+
+    val targets = Array(2) {
+        FakeTarget { request, output ->
+            val behaviour = if (received.getAndIncrement() == 0) first else second
+            if (isOn) behaviour(request, output) else request.answerTo(output, "warm")
+        }
+    }
+
+    /** Number of requests since the start of the race. */
+    val receivedCount: Int get() = received.get()
+
+    fun pause() {
+        isOn = false
+    }
+
+    fun start() {
+        received.set(0)
+        isOn = true
+    }
+}
+
+/** Never answers, and counts [areClosed] down when the other side has closed the connection. */
+private fun silentUntilClosed(areClosed: CountDownLatch): Behaviour = { request, _ ->
+    request.awaitClose()
+    areClosed.countDown()
+    false
+}
+
+private fun CountDownLatch.awaitOrFail() {
+    if (!await(HANG_LIMIT_SECONDS, TimeUnit.SECONDS)) throw AssertionError("not closed")
+}
+
+private val hedging = SchedulingFeatures(hedging = HedgingLimits(share = 1.0))
+
+/** Runs [block] once the delay of the route of [path] is known, and lets the targets race then. */
+private fun Race.run(
+    path: String,
+    features: SchedulingFeatures = hedging,
+    changes: Map<String, PolicyChange> = emptyMap(),
+    block: RoutedFixture.() -> Unit
+) = withHosts(*targets, grace = 3.seconds, features = features, changes = changes) {
+    warmUp(path)
+    if (features.hedging != null) await { "entry_hedged_routes 1.0" in metrics() }
+    start()
+    block()
+}
+
+private fun RoutedFixture.warmUp(path: String) =
+    repeat(WARM_UP_CALLS) { call("$path$it", "w$it") shouldContain "warm" }
+
+private fun RoutedFixture.awaitHedge(kind: String, result: String) = await {
+    Regex("hedges_total\\{kind=\"$kind\",result=\"$result\"\\} 1\\.0").containsMatchIn(metrics())
+}
+
+private val slow: Behaviour = { request, output ->
+    Thread.sleep(SLOW_MILLIS)
+    request.answerTo(output, "a")
+}
+
+private val fast: Behaviour = { request, output -> request.answerTo(output, "b") }
+
+private val reset: Behaviour = { request, _ ->
+    request.reset()
+    false
+}
+
+private val rejects: Behaviour = { request, output ->
+    output.answer(request.id, status = 503, extra = "X-Not-Run: 1\r\n")
+    true
+}
+
+private val fails: Behaviour = { request, output ->
+    output.answer(request.id, status = 500, body = "oops")
+    true
+}
+
+class HedgedRequestsTest :
+    DescribeSpec({
+        val kinds = mapOf("/safe/" to "idempotent", "/resumed/" to "stream")
+
+        fun textsIn(answer: String) = answer.substringAfter("\r\n\r\n").let { body ->
+            if ("data: " in body) {
+                Regex("data: (\\w)").findAll(body).map { it.groupValues[1] }.toSet()
+            } else {
+                setOf(body)
+            }
+        }
+
+        for ((path, kind) in kinds) {
+            describe("a request of $path whose first attempt is slow") {
+                it("gets the answer of the hedge, and the first attempt is cancelled at once") {
+                    val isClosed = CountDownLatch(1)
+                    val race = Race(silentUntilClosed(isClosed), fast)
+                    race.run(path) {
+                        val answer = call("${path}1")
+                        answer shouldStartWith "HTTP/1.1 200"
+                        textsIn(answer) shouldBe setOf("b")
+                        isClosed.awaitOrFail()
+                        race.receivedCount shouldBe 2
+                        awaitHedge(kind, "won")
+                        await { "entry_holding_slots 0.0" in metrics() }
+                    }
+                }
+
+                it("gets its own answer if that is first, and the hedge is cancelled at once") {
+                    val isSent = CountDownLatch(1)
+                    val isClosed = CountDownLatch(1)
+                    val race = Race(
+                        { request, output ->
+                            isSent.awaitOrFail()
+                            request.answerTo(output, "a")
+                        },
+                        { request, output ->
+                            isSent.countDown()
+                            silentUntilClosed(isClosed)(request, output)
+                        }
+                    )
+                    race.run(path) {
+                        textsIn(call("${path}1")) shouldBe setOf("a")
+                        isClosed.awaitOrFail()
+                        race.receivedCount shouldBe 2
+                        awaitHedge(kind, "lost")
+                    }
+                }
+
+                // A rejection or a failure of one attempt must not end the other one.
+                val outcomes = mapOf("rejects it" to rejects, "is lost" to reset, "fails" to fails)
+                for ((name, outcome) in outcomes) {
+                    it("is answered by the first attempt if the hedge $name") {
+                        Race(slow, outcome).run(path) {
+                            textsIn(call("${path}1")) shouldBe setOf("a")
+                            awaitHedge(kind, "lost")
+                        }
+                    }
+
+                    it("is answered by the hedge if the first attempt then $name") {
+                        val isHedged = CountDownLatch(1)
+                        val hasEnded = CountDownLatch(1)
+                        val race = Race(
+                            { request, output ->
+                                isHedged.awaitOrFail()
+                                outcome(request, output).also { hasEnded.countDown() }
+                            },
+                            { request, output ->
+                                isHedged.countDown()
+                                hasEnded.awaitOrFail()
+                                Thread.sleep(50)
+                                request.answerTo(output, "b")
+                            }
+                        )
+                        race.run(path) {
+                            textsIn(call("${path}1")) shouldBe setOf("b")
+                            race.receivedCount shouldBe 2
+                        }
+                    }
+                }
+
+                it("reaches no more targets than its attempts if both fail") {
+                    val isHedged = CountDownLatch(1)
+                    val race = Race(
+                        { request, output ->
+                            isHedged.awaitOrFail()
+                            fails(request, output)
+                        },
+                        { request, output ->
+                            isHedged.countDown()
+                            fails(request, output)
+                        }
+                    )
+                    race.run(path) {
+                        call("${path}1") shouldStartWith "HTTP/1.1 500"
+                        race.receivedCount shouldBe 2
+                    }
+                }
+
+                // Both attempts answer at the same moment.
+                it("gets the bytes of one answer only") {
+                    val barrier = CyclicBarrier(2)
+                    fun answerOf(text: String): Behaviour = { request, output ->
+                        barrier.await(HANG_LIMIT_SECONDS, TimeUnit.SECONDS)
+                        request.answerTo(output, text)
+                    }
+                    val race = Race(answerOf("a"), answerOf("b"))
+                    race.run(path) {
+                        repeat(8) {
+                            race.start()
+                            val answer = call("${path}1", "r$it")
+                            answer shouldStartWith "HTTP/1.1 200"
+                            textsIn(answer) shouldBeIn listOf(setOf("a"), setOf("b"))
+                            if (kind == "stream") {
+                                Regex("id: \\d").findAll(answer).count() shouldBe 6
+                                answer shouldEndWith "0\r\n\r\n"
+                            }
+                        }
+                    }
+                }
+
+                it("leaves no attempt behind when its caller leaves") {
+                    val areClosed = CountDownLatch(2)
+                    val silent = silentUntilClosed(areClosed)
+                    val race = Race(silent, silent)
+                    race.run(path) {
+                        val caller = connect()
+                        caller.getOutputStream().write(request("${path}1", "r1").toByteArray())
+                        await { race.receivedCount == 2 }
+                        caller.close()
+                        areClosed.awaitOrFail()
+                        await { "entry_holding_slots 0.0" in metrics() }
+                    }
+                }
+
+                it("leaves no attempt behind in a planned stop") {
+                    val areClosed = CountDownLatch(2)
+                    val silent = silentUntilClosed(areClosed)
+                    val race = Race(silent, silent)
+                    race.run(path) {
+                        val answer = StringBuilder()
+                        val caller = thread { answer.append(call("${path}1")) }
+                        await { race.receivedCount == 2 }
+                        beginStop()
+                        caller.join()
+                        answer.toString() shouldStartWith "HTTP/1.1 502"
+                        answer.toString() shouldContain "answer_lost"
+                        areClosed.awaitOrFail()
+                    }
+                }
+
+                it("leaves no attempt behind at its deadline") {
+                    val areClosed = CountDownLatch(2)
+                    val silent = silentUntilClosed(areClosed)
+                    val race = Race(silent, silent)
+                    val shorter: PolicyChange = { policy ->
+                        val routes = policy.routes.map { it.copy(timeout = 700.milliseconds) }
+                        policy.copy(routes = routes.toPersistentList())
+                    }
+                    race.run(path, changes = mapOf("shorter" to shorter)) {
+                        put("2 shorter")
+                        await { "entry_policy_revision 2.0" in metrics() }
+                        call("${path}1") shouldStartWith "HTTP/1.1 504"
+                        areClosed.awaitOrFail()
+                        race.receivedCount shouldBe 2
+                    }
+                }
+
+                it("is not hedged while the feature is off") {
+                    val race = Race(slow, fast)
+                    race.run(path, features = SchedulingFeatures.NONE) {
+                        textsIn(call("${path}1")) shouldBe setOf("a")
+                        race.receivedCount shouldBe 1
+                    }
+                }
+            }
+        }
+
+        // TWICE: two engines would work on one stream for longer than the rules allow.
+        describe("a stream of which neither attempt sends an event") {
+            it("goes on with the first one after a short time") {
+                val isClosed = CountDownLatch(1)
+                val race = Race(
+                    { request, output ->
+                        isClosed.awaitOrFail()
+                        request.answerTo(output, "a")
+                    },
+                    silentUntilClosed(isClosed)
+                )
+                race.run("/resumed/") {
+                    textsIn(call("/resumed/1")) shouldBe setOf("a")
+                    race.receivedCount shouldBe 2
+                    awaitHedge("stream", "lost")
+                }
+            }
+        }
+
+        // TWICE: a non-idempotent request may run at most once.
+        describe("a non-idempotent request whose only attempt is slow") {
+            for (path in listOf("/once/", "/stream/")) {
+                it("of $path is not hedged") {
+                    val race = Race(slow, fast)
+                    race.run(path) {
+                        textsIn(call("${path}1")) shouldBe setOf("a")
+                        race.receivedCount shouldBe 1
+                    }
+                }
+            }
+        }
+
+        describe("a host that has lost the shared scheduler") {
+            it("hedges by its own counts") {
+                val race = Race(slow, fast)
+                race.run("/safe/") {
+                    stopControl()
+                    await { "entry_shared_scheduler 0.0" in metrics() }
+                    textsIn(call("/safe/1")) shouldBe setOf("a")
+                    race.receivedCount shouldBe 1
+                    race.pause()
+                    warmUp("/safe/")
+                    race.start()
+                    textsIn(call("/safe/2")) shouldBe setOf("b")
+                    race.receivedCount shouldBe 2
+                }
+            }
+        }
+    })
--- a/daemon/src/test/kotlin/io/primroseflow/daemon/entry/RoutedFixture.kt
+++ b/daemon/src/test/kotlin/io/primroseflow/daemon/entry/RoutedFixture.kt
@@ -22,6 +22,7 @@
 import io.primroseflow.fleet.PromptPart
 import io.primroseflow.fleet.QuotaTolerance
 import io.primroseflow.fleet.RateNotice
+import io.primroseflow.fleet.SchedulingFeatures
 import io.primroseflow.fleet.TargetNotice
 import io.primroseflow.limits.RetryLimits
 import io.primroseflow.model.DataCentreId
@@ -144,7 +145,8 @@
     lease: Duration = 5.seconds,
     grace: Duration = 6.seconds,
     changes: Map<String, PolicyChange> = emptyMap(),
-    dialect: Dialect = TestDialect
+    dialect: Dialect = TestDialect,
+    features: SchedulingFeatures = SchedulingFeatures.NONE
 ) : AutoCloseable {
     private val decoder = decoderOf(changes)
     private val folder = Files.createTempDirectory("control")
@@ -180,7 +182,8 @@
             isFirstStart = true,
             voters = 1,
             quotaTolerance = tolerance,
-            retryLimits = RetryLimits(allowance = 100)
+            retryLimits = RetryLimits(allowance = 100),
+            features = features
         ),
         loop,
         { DiskFolder(folder) },
@@ -201,7 +204,8 @@
         grace = grace,
         retryLimits = RetryLimits(allowance = 100),
         quotaWindow = tolerance.window,
-        metricsPort = ports.next()
+        metricsPort = ports.next(),
+        features = features
     )
     private val entry = EntryHost(
         settings,
@@ -281,9 +285,16 @@
     grace: Duration = 6.seconds,
     changes: Map<String, PolicyChange> = emptyMap(),
     dialect: Dialect = TestDialect,
+    features: SchedulingFeatures = SchedulingFeatures.NONE,
     block: RoutedFixture.() -> Unit
 ) {
-    RoutedFixture(*targets, grace = grace, changes = changes, dialect = dialect).use {
+    RoutedFixture(
+        *targets,
+        grace = grace,
+        changes = changes,
+        dialect = dialect,
+        features = features
+    ).use {
         it.startControl()
         it.block()
     }
