--- a/daemon/src/test/kotlin/io/primroseflow/daemon/peer/SchedulingRecordsTest.kt
+++ b/daemon/src/test/kotlin/io/primroseflow/daemon/peer/SchedulingRecordsTest.kt
@@ -5,11 +5,13 @@
 import io.primroseflow.control.PolicyRevision
 import io.primroseflow.fleet.AnswerLoss
 import io.primroseflow.fleet.CrashRecord
+import io.primroseflow.fleet.FleetShare
 import io.primroseflow.fleet.PartRecord
 import io.primroseflow.fleet.SlotEnd
 import io.primroseflow.fleet.TargetCondition
 import io.primroseflow.model.DataCentreId
 import io.primroseflow.model.TargetId
+import io.primroseflow.routing.RouteId
 import io.primroseflow.timeline.HybridTime
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Instant
@@ -84,4 +86,27 @@
                 }
             }
         }
+
+        // Hosts of both versions must understand each other while some of them are older.
+        describe("the hedging delays in a reply") {
+            val reply = PeerMessage.ReportReply(
+                number = 1,
+                term = 1,
+                policy = PolicyRevision(1),
+                replicas = emptyList(),
+                share = FleetShare()
+            )
+
+            it("are received as they were sent") {
+                val hedging = reply.copy(hedgeDelays = mapOf(RouteId("r") to 120L))
+                sent(hedging) shouldBe hedging
+            }
+
+            it("take no byte while hedging is off") {
+                fun sizeOf(message: PeerMessage) =
+                    encodeFrame(PeerFrame.Batch(HybridTime(1, 0), listOf(message))).size
+                sent(reply) shouldBe reply
+                sizeOf(reply.copy(hedgeDelays = emptyMap())) shouldBe sizeOf(reply) + 3
+            }
+        }
     })
