Ask for no hedges just after a refusal, nor wait long for a decision

Cause: under overload each slow request would have cost a message that is refused, and a lost decision on a hedge would have kept a silent target from being replaced. Change: SlotClient asks for no hedge to a service until the time that a refusal named; HedgeRace gives a request for a slot up after 250 ms.

--- a/daemon/src/main/kotlin/io/primroseflow/daemon/entry/HedgeRace.kt
+++ b/daemon/src/main/kotlin/io/primroseflow/daemon/entry/HedgeRace.kt
@@ -24,6 +24,12 @@
 /** Time for which two engines may work on one stream; the rules allow 400 ms. */
 private val STREAM_OVERLAP_LIMIT: Duration = 350.milliseconds
 
+/**
+ * Time within which a hedge is granted or refused. Hedges are decided at once, so a later decision is
+ * lost, and the silent target of the first attempt may have to be replaced.
+ */
+private val DECISION_TIMEOUT: Duration = 250.milliseconds
+
 /** What became of the hedge of a request; [label] is its value in logs and metrics. */
 internal enum class HedgeOutcome(val label: String) {
     /** None was sent. */
@@ -153,7 +159,9 @@
     }
 
     private suspend fun dispatchHedge(first: TargetId, added: Attempt): ExchangeResult? {
-        val (slotRequest, decision) = request.acquireHedge(first)
+        var asked: Pair<SlotRequest, SlotDecision>? = null
+        withTimeoutOrNull(DECISION_TIMEOUT) { asked = request.acquireHedge(first) }
+        val (slotRequest, decision) = asked ?: return null
         return when (decision) {
             is SlotDecision.Refuse -> {
                 refusal = decision.reason
--- a/daemon/src/main/kotlin/io/primroseflow/daemon/entry/RequestRelay.kt
+++ b/daemon/src/main/kotlin/io/primroseflow/daemon/entry/RequestRelay.kt
@@ -477,7 +477,8 @@
         override val isStream: Boolean get() = route.isStream
 
         override fun canHedge(): Boolean =
-            replacement == null && !isSeekingReplacement && canAddAttempt()
+            replacement == null && !isSeekingReplacement && canAddAttempt() &&
+                context.slots.mayHedge(request.service.id)
 
         override suspend fun acquireHedge(first: TargetId): Pair<SlotRequest, SlotDecision> {
             val slotRequest = nextSlotRequest(excluded + first, isRetry = true).copy(isHedge = true)
--- a/daemon/src/main/kotlin/io/primroseflow/daemon/entry/SlotClient.kt
+++ b/daemon/src/main/kotlin/io/primroseflow/daemon/entry/SlotClient.kt
@@ -113,6 +113,9 @@
     private var hedgeDelays: Map<RouteId, Long> = emptyMap()
     private var hedgeDelaysAt = Instant.DISTANT_PAST
 
+    /** Times until which no hedges are asked for, so that an overload causes no more messages. */
+    private val hedgesPausedUntil = HashMap<ServiceId, Instant>()
+
     /** Grants for a former process of this host must not meet the tickets of this one. */
     private var lastTicketNumber = random.firstNumberOfProcess()
 
@@ -177,6 +180,10 @@
         return hedgeDelays[route]?.coerceAtLeast(1)?.milliseconds
     }
 
+    /** Returns whether a hedge to [service] may be asked for, as none was refused just before. */
+    fun mayHedge(service: ServiceId): Boolean =
+        hedgesPausedUntil[service]?.let { clock.now() >= it } ?: true
+
     /** Adopts the hedging delays in [reply], if it carries any. */
     fun onHedgeDelays(reply: PeerMessage.ReportReply) {
         if (reply.term != link.term) return
@@ -398,6 +405,8 @@
                 val team = entry.request.team
                 if (team != null) usage.record(team, entry.request.cost, clock.now())
                 quarantine.onGranted(entry.request, decision.target.id, clock.now())
+            } else if (decision is SlotDecision.Refuse && entry.request.isHedge) {
+                hedgesPausedUntil[entry.request.service] = clock.now() + decision.retryAfter
             }
             entry.answer.complete(decision)
         }
