--- a/daemon/src/test/kotlin/io/primroseflow/daemon/entry/RoutedFixture.kt
+++ b/daemon/src/test/kotlin/io/primroseflow/daemon/entry/RoutedFixture.kt
@@ -22,6 +22,7 @@
 import io.primroseflow.fleet.PromptPart
 import io.primroseflow.fleet.QuotaTolerance
 import io.primroseflow.fleet.RateNotice
+import io.primroseflow.fleet.SchedulingFeatures
 import io.primroseflow.fleet.TargetNotice
 import io.primroseflow.limits.RetryLimits
 import io.primroseflow.model.DataCentreId
@@ -145,7 +146,8 @@
     grace: Duration = 6.seconds,
     changes: Map<String, PolicyChange> = emptyMap(),
     dialect: Dialect = TestDialect,
-    boundsSlowCallers: Boolean = false
+    boundsSlowCallers: Boolean = false,
+    features: SchedulingFeatures = SchedulingFeatures.NONE
 ) : AutoCloseable {
     private val decoder = decoderOf(changes)
     private val folder = Files.createTempDirectory("control")
@@ -181,7 +183,8 @@
             isFirstStart = true,
             voters = 1,
             quotaTolerance = tolerance,
-            retryLimits = RetryLimits(allowance = 100)
+            retryLimits = RetryLimits(allowance = 100),
+            features = features
         ),
         loop,
         { DiskFolder(folder) },
@@ -203,7 +206,8 @@
         retryLimits = RetryLimits(allowance = 100),
         quotaWindow = tolerance.window,
         metricsPort = ports.next(),
-        boundsSlowCallers = boundsSlowCallers
+        boundsSlowCallers = boundsSlowCallers,
+        features = features
     )
     private val entry = EntryHost(
         settings,
@@ -284,6 +288,7 @@
     changes: Map<String, PolicyChange> = emptyMap(),
     dialect: Dialect = TestDialect,
     boundsSlowCallers: Boolean = false,
+    features: SchedulingFeatures = SchedulingFeatures.NONE,
     block: RoutedFixture.() -> Unit
 ) {
     RoutedFixture(
@@ -291,7 +296,8 @@
         grace = grace,
         changes = changes,
         dialect = dialect,
-        boundsSlowCallers = boundsSlowCallers
+        boundsSlowCallers = boundsSlowCallers,
+        features = features
     ).use {
         it.startControl()
         it.block()
