Add the decisions on rollouts of a service version

Cause: operators may order that the requests of a service move to replicas of another version, which may be bad at once, later, or on one route only.

Change: RolloutController decides for each request which version may get it, judges the new version by its failures and times in comparison with the old one, and ends the rollout; RolloutGate keeps one for each service. FleetTarget has a version. Without a rollout nothing changes. The control state stores rollouts by StartRollout and EndRollout.

--- a/core/src/main/kotlin/io/primroseflow/control/ControlCommands.kt
+++ b/core/src/main/kotlin/io/primroseflow/control/ControlCommands.kt
@@ -6,6 +6,7 @@
 import io.primroseflow.model.RequestId
 import io.primroseflow.model.TeamId
 import io.primroseflow.request.Outcome
+import io.primroseflow.routing.ServiceId
 import kotlinx.serialization.SerialName
 import kotlinx.serialization.Serializable
 
@@ -115,6 +116,28 @@
         val revision: PolicyRevision,
         val source: PolicySource
     ) : ControlCommand
+
+    /**
+     * Starts a rollout of [version] of [service].
+     *
+     * @property durationMillis time within which the rollout must have ended, in milliseconds
+     */
+    @Serializable
+    public data class StartRollout(
+        override val atMillis: Long,
+        val service: ServiceId,
+        val version: String,
+        val durationMillis: Long
+    ) : ControlCommand
+
+    /** Ends the rollout with [number], either completed or rolled back. */
+    @Serializable
+    public data class EndRollout(
+        override val atMillis: Long,
+        val service: ServiceId,
+        val number: Long,
+        val isCompleted: Boolean
+    ) : ControlCommand
 }
 
 /** The answer of the control state to a command. */
@@ -170,6 +193,22 @@
      */
     @Serializable
     public data class PolicyConflict(@SerialName("winner") val current: PolicyHead?) : ControlAnswer
+
+    /** The order is stored: [rollout] is the one that it started, now or when it was sent before. */
+    @Serializable
+    public data class RolloutAccepted(val rollout: Rollout) : ControlAnswer
+
+    /** The order is refused as [running], another rollout of the service, has not ended. */
+    @Serializable
+    public data class RolloutConflict(val running: Rollout) : ControlAnswer
+
+    /**
+     * The end was processed.
+     *
+     * @property rollout latest rollout of the service; a rollout that had ended before is unchanged
+     */
+    @Serializable
+    public data class RolloutEnded(val rollout: Rollout?) : ControlAnswer
 }
 
 /**
--- a/core/src/main/kotlin/io/primroseflow/control/ControlState.kt
+++ b/core/src/main/kotlin/io/primroseflow/control/ControlState.kt
@@ -1,6 +1,7 @@
 package io.primroseflow.control
 
 import io.primroseflow.consensus.CommandBytes
+import io.primroseflow.routing.ServiceId
 import kotlinx.serialization.ExperimentalSerializationApi
 import kotlinx.serialization.Serializable
 import kotlinx.serialization.cbor.Cbor
@@ -9,7 +10,9 @@
 @Serializable
 internal data class ControlSnapshot(
     val claims: ClaimTableSnapshot,
-    val policies: PolicyRegisterSnapshot
+    val policies: PolicyRegisterSnapshot,
+    // Omitted while it is empty, as in the snapshots of earlier versions.
+    val rollouts: List<Rollout> = emptyList()
 )
 
 /**
@@ -21,7 +24,8 @@
 public data class ControlStatus(val claims: Int, val policy: PolicyHead?)
 
 /**
- * The replicated state machine of the control group: claims of idempotency keys and policies.
+ * The replicated state machine of the control group: claims of idempotency keys,
+ * policies and rollouts.
  *
  * The state is deterministic: the same commands in the same order produce the same state. This
  * class is not thread-safe.
@@ -29,6 +33,7 @@
 public class ControlState private constructor(snapshot: ControlSnapshot?) {
     private val claims = ClaimTable(snapshot?.claims)
     private val policies = PolicyRegister(snapshot?.policies)
+    private val rolloutRegister = RolloutRegister(snapshot?.rollouts.orEmpty())
 
     /** Creates an empty state. */
     public constructor() : this(snapshot = null)
@@ -43,6 +48,12 @@
     public fun findPolicyOrNull(revision: PolicyRevision): AcceptedPolicy? =
         policies.findOrNull(revision)
 
+    /** The latest rollout of each service. */
+    public val rollouts: List<Rollout> get() = rolloutRegister.all
+
+    /** Returns the latest rollout of [service], or `null` if none is stored. */
+    public fun findRolloutOrNull(service: ServiceId): Rollout? = rolloutRegister.findOrNull(service)
+
     /** Returns a summary of this state. */
     public fun status(): ControlStatus = ControlStatus(claims.size, policies.current?.head)
 
@@ -52,13 +63,15 @@
         is ControlCommand.RecordEnd -> claims.recordEnd(command)
         is ControlCommand.ApplyPolicy -> policies.apply(command)
         is ControlCommand.RaisePolicy -> policies.raise(command)
+        is ControlCommand.StartRollout -> rolloutRegister.start(command)
+        is ControlCommand.EndRollout -> rolloutRegister.end(command)
     }
 
     /** Encodes this state as a snapshot. */
     public fun toSnapshot(): CommandBytes = buildSnapshot().toBytes()
 
     internal fun buildSnapshot(): ControlSnapshot =
-        ControlSnapshot(claims.toSnapshot(), policies.toSnapshot())
+        ControlSnapshot(claims.toSnapshot(), policies.toSnapshot(), rollouts)
 
     public companion object {
         /** Restores a state from [bytes], a snapshot made by [toSnapshot]. */
--- a/core/src/main/kotlin/io/primroseflow/fleet/FleetModel.kt
+++ b/core/src/main/kotlin/io/primroseflow/fleet/FleetModel.kt
@@ -17,6 +17,7 @@
  * @property address IP address and port, joined by a colon
  * @property slots number of requests that the target may serve at the same time
  * @property isLeaving whether the target accepts no new requests
+ * @property version version of the service that the target runs, `null` if it is not stated
  */
 @Serializable
 public data class FleetTarget(
@@ -25,7 +26,8 @@
     @SerialName("a") val address: String,
     @SerialName("d") val dataCentre: DataCentreId,
     @SerialName("n") val slots: Int,
-    @SerialName("l") val isLeaving: Boolean
+    @SerialName("l") val isLeaving: Boolean,
+    @SerialName("v") val version: String? = null
 )
 
 /**
--- a/core/src/main/kotlin/io/primroseflow/fleet/FleetScheduler.kt
+++ b/core/src/main/kotlin/io/primroseflow/fleet/FleetScheduler.kt
@@ -1,5 +1,6 @@
 package io.primroseflow.fleet
 
+import io.primroseflow.control.Rollout
 import io.primroseflow.limits.RateTurns
 import io.primroseflow.limits.RetryBudget
 import io.primroseflow.limits.RetryLimits
@@ -38,6 +39,8 @@
  * @param turns turns in which a host on its own uses the rates that targets have stated, `null` for
  *   the scheduler of all other hosts
  * @param features optional parts of scheduling that are on
+ * @param rolloutLimits limits of the rollouts that this scheduler carries out; `null` for a host on
+ *   its own, which uses no version that is being rolled out
  */
 public class FleetScheduler(
     private val share: FleetShare = FleetShare(),
@@ -46,7 +49,8 @@
     private val neededSlots: Map<ServiceId, Int> = emptyMap(),
     public val quarantine: PartQuarantine = PartQuarantine(),
     turns: RateTurns? = null,
-    private val features: SchedulingFeatures = SchedulingFeatures.NONE
+    private val features: SchedulingFeatures = SchedulingFeatures.NONE,
+    rolloutLimits: RolloutLimits? = null
 ) {
     private class RunningRequest(
         val estimated: EstimatedRequest,
@@ -59,6 +63,7 @@
     private val services = HashMap<ServiceId, ServiceState>()
     private val conditions = ReportedConditions()
     private val pacing = TargetPacing(turns)
+    private val rollouts = RolloutGate(rolloutLimits)
     private val running = HashMap<SlotTicket, RunningRequest>()
     private val runningByHost = HashMap<HostId, HashMap<SlotTicket, RunningRequest>>()
     private val quotas = TeamQuotas(tolerance)
@@ -86,10 +91,29 @@
     public fun updateTargets(targets: List<FleetTarget>, now: Instant): List<SlotDecision> {
         listedTargets = targets
         isTargetListKnown = true
+        rollouts.updateTargets(targets)
         applyTargets()
         return services.values.flatMap { grantAll(it, now) }
     }
 
+    /**
+     * Replaces what is known of the latest rollout of each service, and grants the slots that became
+     * available.
+     */
+    public fun updateRollouts(latest: List<Rollout>, now: Instant): List<SlotDecision> {
+        rollouts.update(latest, now)
+        return services.values.flatMap { grantAll(it, now) }
+    }
+
+    /**
+     * Grants nothing to services of several versions until [updateRollouts] is called, as one of
+     * their versions may be under a rollout that this scheduler does not know yet.
+     */
+    public fun awaitRollouts() = rollouts.awaitUpdate()
+
+    /** Returns what is known of the running rollouts. */
+    public fun rolloutStatuses(now: Instant): List<RolloutStatus> = rollouts.statuses(now)
+
     /**
      * Replaces the conditions of targets that [host] reports. Targets that any host reports as
      * leaving get no further requests; those that rest get none of this host.
@@ -257,6 +281,7 @@
         val service = stateOf(done.request.service)
         val target = service.targets.findOrNull(done.target)
         target?.release(done.estimated)
+        target?.let { rollouts.onEnded(done.request, it.target, done.grantedAt, end, now) }
         when (end) {
             is SlotEnd.Served -> service.recordServed(target, done.request, end)
 
@@ -381,6 +406,7 @@
         quotas.settleIfDue(now)
         pacing.expire(now)
         decisions += review(now)
+        rollouts.tick(now, ::formerTargets)
         for (service in services.values) {
             refuseLate(service, now, decisions)
             decisions += grantAll(service, now)
@@ -388,6 +414,9 @@
         return decisions
     }
 
+    private fun formerTargets(service: ServiceId, version: String) =
+        formerTargetsOf(stateOf(service).targets.all, version)
+
     /** Returns the current gauges. */
     public fun status(): FleetStatus = FleetStatus(
         waiting = services.values.sumOf { it.queue.size } + delayed.size,
@@ -410,7 +439,7 @@
     }
 
     private fun stateOf(id: ServiceId) = services.getOrPut(id) {
-        ServiceState(conditions, quarantine, pacing)
+        ServiceState(conditions, quarantine, pacing, rollouts)
     }
 
     private fun applyTargets() {
@@ -450,7 +479,9 @@
     private fun restore(slot: HeldSlot, now: Instant) {
         val service = stateOf(slot.request.service)
         val estimated = service.queue.remove(slot.request.ticket) ?: service.estimate(slot.request)
-        service.targets.findOrNull(slot.target)?.start(estimated)
+        val target = service.targets.findOrNull(slot.target)
+        target?.start(estimated)
+        target?.let { rollouts.onRestored(slot.request, it.target, now) }
         quarantine.onGranted(slot.request, slot.target, now)
         addRunning(slot.request.ticket, RunningRequest(estimated, slot.target, now))
     }
@@ -460,7 +491,8 @@
         val decisions = ArrayList<SlotDecision>()
         while (true) {
             val first = service.nextOrNull(now) ?: break
-            val choice = service.targets.chooseOrNull(first, now)
+            val choice = rollouts
+                .chooseForTest(first.request, now) { service.targets.chooseOrNull(first, now) }
                 ?.let { service.bestCachedAt(it, first, now) to it }
                 ?: backfillOrNull(service, now)
                 ?: break
@@ -476,6 +508,7 @@
             val isFirst = !estimated.request.isRetry
             if (isFirst) budgetOf(estimated.request.service)?.recordFirstAttempt(now)
             target.onGranted(estimated.request, now)
+            rollouts.onGranted(estimated.request, target.target, now)
             target.beginPrefill(estimated, now)
             target.start(estimated)
             quarantine.onGranted(estimated.request, target.target.id, now)
--- a/core/src/main/kotlin/io/primroseflow/fleet/ServiceState.kt
+++ b/core/src/main/kotlin/io/primroseflow/fleet/ServiceState.kt
@@ -36,13 +36,15 @@
  * @param conditions what hosts report about targets
  * @param quarantine keeps requests apart that may end targets
  * @param pacing keeps targets within the rates that they have stated
+ * @param rollouts decides which versions of the service may get a request
  */
 internal class ServiceState(
     conditions: ReportedConditions,
     quarantine: PartQuarantine,
-    pacing: TargetPacing
+    pacing: TargetPacing,
+    rollouts: RolloutGate
 ) {
-    val targets = ServiceTargets(conditions, quarantine, pacing)
+    val targets = ServiceTargets(conditions, quarantine, pacing, rollouts)
     val queue = SlotRequestQueue()
 
     /** Moving average of the ratio of actual to nominal time that requests hold a slot. */
--- a/core/src/main/kotlin/io/primroseflow/fleet/ServiceTargets.kt
+++ b/core/src/main/kotlin/io/primroseflow/fleet/ServiceTargets.kt
@@ -17,11 +17,13 @@
  * @param conditions what hosts report about targets
  * @param quarantine keeps requests apart that may end targets
  * @param pacing keeps targets within the rates that they have stated
+ * @param rollouts decides which versions of the service may get a request
  */
 internal class ServiceTargets(
     private val conditions: ReportedConditions,
     private val quarantine: PartQuarantine,
-    private val pacing: TargetPacing
+    private val pacing: TargetPacing,
+    private val rollouts: RolloutGate
 ) {
     private val states = LinkedHashMap<TargetId, TargetState>()
 
@@ -56,7 +58,7 @@
     }
 
     private fun newState(target: FleetTarget, slots: Map<TargetId, Int>) =
-        TargetState(target, slots[target.id] ?: 0, conditions, quarantine, pacing)
+        TargetState(target, slots[target.id] ?: 0, conditions, quarantine, pacing, rollouts)
 
     /** Returns the target that is expected to finish [estimated] first, or `null` if none fits. */
     fun chooseOrNull(estimated: EstimatedRequest, now: Instant): TargetState? {
--- a/core/src/main/kotlin/io/primroseflow/fleet/TargetState.kt
+++ b/core/src/main/kotlin/io/primroseflow/fleet/TargetState.kt
@@ -71,13 +71,15 @@
  * @param conditions what hosts report about the target
  * @param quarantine keeps requests apart that may end targets
  * @param pacing keeps the target within the rate that it has stated
+ * @param rollouts decides which versions of the service may get a request
  */
 internal class TargetState(
     target: FleetTarget,
     var slotLimit: Int,
     private val conditions: ReportedConditions,
     private val quarantine: PartQuarantine,
-    private val pacing: TargetPacing
+    private val pacing: TargetPacing,
+    private val rollouts: RolloutGate
 ) {
     var target: FleetTarget = target
         set(value) {
@@ -146,7 +148,8 @@
         val unreachable = unreachableFrom[request.dataCentre]
         val isReachable = unreachable == null || now >= unreachable.until
         return isReachable && isUsable(now) && target.id !in request.excluded &&
-            restWait(request, now) == Duration.ZERO && quarantine.allows(request, target.id)
+            restWait(request, now) == Duration.ZERO && quarantine.allows(request, target.id) &&
+            rollouts.allows(request.route, target, now)
     }
 
     /** Returns the time until the target takes requests of the host of [request] again. */
@@ -171,7 +174,7 @@
      * the rate of the target fills.
      */
     fun usableSlots(millis: Double, now: Instant): Double {
-        if (!isUsable(now)) return 0.0
+        if (!isUsable(now) || !rollouts.hasCapacity(target, now)) return 0.0
         val slots = slotLimit.toDouble()
         return pacing.perSecondOrNull(target.id)?.let { minOf(slots, it * millis / 1_000) } ?: slots
     }
