--- a/core/src/main/kotlin/io/primroseflow/fleet/RolloutController.kt
+++ b/core/src/main/kotlin/io/primroseflow/fleet/RolloutController.kt
@@ -80,41 +80,6 @@
 /** Number of bad answers after which the limit `rollbackAfter` begins. */
 private const val BAD_ANSWER_LIMIT = 50
 
-/** The decision of a [RolloutController] on its rollout. */
-public enum class RolloutVerdict {
-    /** The requests at the old version have ended and the new one is good. */
-    Complete,
-
-    /** The new version is bad, or too little is known about it. */
-    RollBack
-}
-
-/**
- * What is known of a running rollout.
- *
- * @property requests requests to the service since this scheduler knows of the rollout
- * @property exposed those of them and of their retries that the new version got
- * @property answers judged answers of the new version
- * @property bad failures and slow answers among them
- * @property formerAnswers judged answers of the old version
- * @property formerBad failures and slow answers among them
- * @property isGood whether the new version is judged good at present
- * @property reason why the verdict was reached, `null` before
- */
-public data class RolloutStatus(
-    val rollout: Rollout,
-    val requests: Int,
-    val exposed: Int,
-    val answers: Int,
-    val bad: Int,
-    val formerAnswers: Int,
-    val formerBad: Int,
-    val isGood: Boolean,
-    val isSwitching: Boolean,
-    val verdict: RolloutVerdict?,
-    val reason: String?
-)
-
 /**
  * Decides, for each request to a service with a running rollout, which versions may get it, and
  * when the rollout ends.
@@ -432,11 +397,3 @@
         reason = because
     }
 }
-
-/** Returns the ratio of the time of an answer to that of its work at a target of mean speed. */
-private fun stretchOf(request: SlotRequest, end: SlotEnd.Served): Double {
-    if (!request.isStream) return end.totalMillis.toDouble()
-    val nominal = START_OVERHEAD_MILLIS + request.promptTokens * PREFILL_MILLIS_PER_TOKEN +
-        end.outputTokens * DECODE_MILLIS_PER_TOKEN
-    return end.totalMillis / nominal
-}
--- a/core/src/main/kotlin/io/primroseflow/fleet/VersionEvidence.kt
+++ b/core/src/main/kotlin/io/primroseflow/fleet/VersionEvidence.kt
@@ -238,3 +238,11 @@
         latest = poissonTail(latestBad, (latest + minOf(running, WINDOW)) * rate)
     )
 }
+
+/** Returns the ratio of the time of an answer to that of its work at a target of mean speed. */
+internal fun stretchOf(request: SlotRequest, end: SlotEnd.Served): Double {
+    if (!request.isStream) return end.totalMillis.toDouble()
+    val nominal = START_OVERHEAD_MILLIS + request.promptTokens * PREFILL_MILLIS_PER_TOKEN +
+        end.outputTokens * DECODE_MILLIS_PER_TOKEN
+    return end.totalMillis / nominal
+}
