Carry out rollouts that operators order

Cause: POST /-/rollouts was answered 404.

Change: the shared scheduler learns of rollouts from the committed state, reads them once in each term before it grants slots of services with several versions, and proposes their ends. Hosts on their own learn of them with the list of targets and use the former version only; versions that no scheduler has told of are not used while others are listed.

--- a/core/src/main/kotlin/io/primroseflow/fleet/RolloutGate.kt
+++ b/core/src/main/kotlin/io/primroseflow/fleet/RolloutGate.kt
@@ -50,6 +50,7 @@
     /** Returns whether [target] may get a request of [route] as far as rollouts are concerned. */
     fun allows(route: RouteId, target: FleetTarget, now: Instant): Boolean {
         if (isAwaiting) return versions[target.service].orEmpty().size < 2
+        if (latest.isEmpty()) return true
         val rollout = latest[target.service] ?: return true
         val controller = controllers[target.service] ?: return isInUse(rollout, target)
         if (isOnlyOneListed(rollout)) return true
@@ -59,7 +60,7 @@
 
     /** Returns whether the slots of [target] serve requests as far as rollouts are concerned. */
     fun hasCapacity(target: FleetTarget, now: Instant): Boolean {
-        if (isAwaiting) return true
+        if (isAwaiting || latest.isEmpty()) return true
         val rollout = latest[target.service] ?: return true
         val controller = controllers[target.service] ?: return isInUse(rollout, target)
         if (isOnlyOneListed(rollout)) return true
@@ -71,7 +72,7 @@
      * to test it. Targets that are busy or new would otherwise be avoided, and no verdict reached.
      */
     inline fun <T : Any> chooseForTest(request: SlotRequest, now: Instant, choose: () -> T?): T? {
-        val controller = controllers[request.service]
+        val controller = if (controllers.isEmpty()) null else controllers[request.service]
         if (controller == null || !controller.prefersNew(request.route, now)) return choose()
         isNewOnly = true
         val choice = choose()
--- a/daemon/src/main/kotlin/io/primroseflow/daemon/HostProcesses.kt
+++ b/daemon/src/main/kotlin/io/primroseflow/daemon/HostProcesses.kt
@@ -17,6 +17,7 @@
 import io.primroseflow.daemon.storage.StorageError
 import io.primroseflow.daemon.target.TargetConnectionPool
 import io.primroseflow.fleet.QuotaTolerance
+import io.primroseflow.fleet.RolloutLimits
 import io.primroseflow.fleet.SchedulingFeatures
 import io.primroseflow.limits.RetryLimits
 import io.primroseflow.model.DataCentreId
@@ -73,6 +74,7 @@
  * @property retryLimits limits of the retries to each service over all hosts
  * @property metricsPort port on which metrics are served, `null` for none
  * @property features optional parts of scheduling that are on
+ * @property rolloutLimits limits on what a bad version gets while it is rolled out
  */
 public data class ControlProcessSettings(
     val address: String,
@@ -86,7 +88,8 @@
     val quotaTolerance: QuotaTolerance,
     val retryLimits: RetryLimits,
     val metricsPort: Int? = null,
-    val features: SchedulingFeatures = SchedulingFeatures.NONE
+    val features: SchedulingFeatures = SchedulingFeatures.NONE,
+    val rolloutLimits: RolloutLimits = RolloutLimits()
 )
 
 /** The event loop, clock and log that the tasks of one process share. */
@@ -160,7 +163,8 @@
             voters = settings.voters,
             quotaTolerance = settings.quotaTolerance,
             retryLimits = settings.retryLimits,
-            features = settings.features
+            features = settings.features,
+            rolloutLimits = settings.rolloutLimits
         ),
         loop = context.loop,
         openFolder = { DiskFolder(settings.dataFolder) },
--- a/daemon/src/main/kotlin/io/primroseflow/daemon/control/ControlHost.kt
+++ b/daemon/src/main/kotlin/io/primroseflow/daemon/control/ControlHost.kt
@@ -11,6 +11,7 @@
 import io.primroseflow.control.AcceptedPolicy
 import io.primroseflow.control.ControlCommand
 import io.primroseflow.control.PolicyRevision
+import io.primroseflow.control.Rollout
 import io.primroseflow.daemon.EventLog
 import io.primroseflow.daemon.PeerAddress
 import io.primroseflow.daemon.failureOf
@@ -38,10 +39,12 @@
 import io.primroseflow.daemon.storage.ReplicaStorage
 import io.primroseflow.daemon.storage.StorageError
 import io.primroseflow.fleet.QuotaTolerance
+import io.primroseflow.fleet.RolloutLimits
 import io.primroseflow.fleet.SchedulingFeatures
 import io.primroseflow.limits.RetryLimits
 import io.primroseflow.model.DataCentreId
 import io.primroseflow.model.HostId
+import io.primroseflow.routing.ServiceId
 import io.primroseflow.timeline.HybridClock
 import java.io.IOException
 import kotlin.random.Random
@@ -77,6 +80,7 @@
  * @property voters target number of voting replicas
  * @property retryLimits limits of the retries to each service over all hosts
  * @property features optional parts of scheduling that are on
+ * @property rolloutLimits limits on what a bad version gets while it is rolled out
  */
 internal data class ControlHostSettings(
     val address: String,
@@ -87,7 +91,8 @@
     val voters: Int,
     val quotaTolerance: QuotaTolerance,
     val retryLimits: RetryLimits,
-    val features: SchedulingFeatures = SchedulingFeatures.NONE
+    val features: SchedulingFeatures = SchedulingFeatures.NONE,
+    val rolloutLimits: RolloutLimits = RolloutLimits()
 )
 
 /**
@@ -103,7 +108,7 @@
     private val clock: Clock,
     private val random: Random,
     private val log: EventLog
-) : PolicyOperations {
+) : OperatorOperations {
     private val policy = RoutedPolicyInForce(decoder, log) { running?.scheduler?.onPolicy(it) }
 
     @Volatile
@@ -178,6 +183,53 @@
             ?: PolicyReadResult.Absent
     }
 
+    override suspend fun startRollout(
+        service: ServiceId,
+        version: String,
+        duration: Duration
+    ): RolloutOrderResult {
+        val client = running?.client ?: return RolloutOrderResult.Unknown
+        when (isServiceKnown(client, service)) {
+            null -> return RolloutOrderResult.Unknown
+            false -> return RolloutOrderResult.Invalid("the service is unknown")
+            true -> Unit
+        }
+        val command = ControlCommand.StartRollout(
+            atMillis = clock.now().toEpochMilliseconds(),
+            service = service,
+            version = version,
+            durationMillis = duration.inWholeMilliseconds
+        )
+        val reply = client.askOrNull(ControlQuery.Apply(command), POLICY_TIMEOUT)
+        val result = rolloutOrderResult(reply)
+        log.info(
+            "rollout_order",
+            "service" to service,
+            "version" to version,
+            "duration_ms" to command.durationMillis,
+            "result" to result::class.simpleName
+        )
+        return result
+    }
+
+    override suspend fun readRollout(service: ServiceId): RolloutReadResult = rolloutReadResult(
+        running?.client?.askOrNull(ControlQuery.RolloutOf(service), POLICY_TIMEOUT)
+    )
+
+    /**
+     * Returns whether the latest policy has [service], or `null` if that is not known. This host may
+     * not have the latest policy yet, and an operator does not repeat an order that is refused.
+     */
+    private suspend fun isServiceKnown(client: ControlClient, service: ServiceId): Boolean? {
+        fun isHere() = policy.table?.policy?.services?.containsKey(service) ?: false
+        if (isHere()) return true
+        val query = ControlQuery.CurrentPolicy(policy.revision)
+        val reply = client.askOrNull(query, POLICY_TIMEOUT) as? ControlReply.PolicyRead
+            ?: return null
+        reply.policy?.let(policy::offer)
+        return isHere()
+    }
+
     /** Adds the gauges of this host to [page]. */
     fun addGauges(page: MetricPage) {
         fun gauge(name: String, help: String, value: RunningReplica.() -> Number?) =
@@ -198,6 +250,18 @@
         gauge("waiting", "Requests that wait for a slot") { scheduler.status?.waiting }
         gauge("running", "Requests that hold a slot") { scheduler.status?.running }
         gauge("targets", "Targets that the scheduler knows") { scheduler.status?.targets }
+        gauge("rollouts", "Rollouts that this scheduler carries out") {
+            scheduler.rolloutStatuses.size
+        }
+        gauge("rollout_requests", "Requests to services with a rollout since its start here") {
+            scheduler.rolloutStatuses.sumOf { it.requests }
+        }
+        gauge("rollout_exposed", "Requests sent to versions that are being rolled out") {
+            scheduler.rolloutStatuses.sumOf { it.exposed }
+        }
+        gauge("rollout_bad_answers", "Failures and slow answers of these versions") {
+            scheduler.rolloutStatuses.sumOf { it.bad }
+        }
         gauge("suspected_parts", "Prompt parts with crashes that nothing has cleared") {
             scheduler.quarantine?.suspectCount
         }
@@ -291,7 +355,8 @@
                 settings.quotaTolerance,
                 settings.retryLimits,
                 log,
-                settings.features
+                settings.features,
+                settings.rolloutLimits
             )
         private val poller: DirectoryPoller = DirectoryPoller(
             directory = directory,
@@ -330,6 +395,14 @@
             }
         }
 
+        override fun readRollouts(onRead: (List<Rollout>) -> Unit) =
+            replica.ask(ControlQuery.Rollouts) { reply ->
+                (reply as? ControlReply.RolloutsRead)?.let { onRead(it.rollouts) }
+            }
+
+        override fun endRollout(end: ControlCommand.EndRollout) =
+            replica.ask(ControlQuery.Apply(end)) {}
+
         private fun every(interval: Duration, name: String, step: () -> Unit) = scope.launch {
             delay(interval)
             repeatContained(interval, log.failureOf(name)) { step() }
@@ -398,6 +471,8 @@
                 this@ControlHost.policy.offer(policy)
                 scheduler.pushPolicy(policy)
             }
+
+            override fun onRollouts(rollouts: List<Rollout>) = scheduler.onRollouts(rollouts)
         }
     }
 }
--- a/daemon/src/main/kotlin/io/primroseflow/daemon/control/ReplicaTask.kt
+++ b/daemon/src/main/kotlin/io/primroseflow/daemon/control/ReplicaTask.kt
@@ -23,6 +23,7 @@
 import io.primroseflow.control.AcceptedPolicy
 import io.primroseflow.control.ControlCommand
 import io.primroseflow.control.ControlState
+import io.primroseflow.control.Rollout
 import io.primroseflow.control.decodeCommandOrNull
 import io.primroseflow.control.encodeCommand
 import io.primroseflow.control.faultOrNull
@@ -137,6 +138,9 @@
 
     /** Called when [policy] has become the latest one. */
     fun onPolicy(policy: AcceptedPolicy)
+
+    /** Called when [rollouts] have become the latest ones of their services. */
+    fun onRollouts(rollouts: List<Rollout>) = Unit
 }
 
 /**
@@ -232,6 +236,7 @@
     suspend fun run(): ReplicaExitReason {
         if (isWaitingToJoin && !confirmNeverVoted()) return ReplicaExitReason.DiskLost
         state.policy?.let(::offer)
+        if (state.rollouts.isNotEmpty()) offerRollouts()
         while (true) {
             val first = withTimeoutOrNull(TICK_INTERVAL) { mailbox.receive() }
             first?.let(::handle)
@@ -336,6 +341,8 @@
 
             is ControlQuery.CurrentPolicy,
             is ControlQuery.PolicyOf,
+            is ControlQuery.RolloutOf,
+            ControlQuery.Rollouts,
             ControlQuery.PolicyHistory -> {
                 val read = ReadId(++lastReadNumber)
                 reads[read] = PendingRead(query, onReply)
@@ -405,10 +412,12 @@
             effects.messages.forEach { notify { listener.send(it.to, it.message) } }
             effects.snapshot?.let(::restore)
             val before = state.policy
+            val rolloutsBefore = state.rollouts
             effects.committed.forEach(::apply)
             val after = state.policy
             // If several policies are applied together, as after a restart, only the last counts.
             if (after != null && after !== before) offer(after)
+            if (state.rollouts != rolloutsBefore) offerRollouts()
             effects.failedReads.forEach { failRead(it) }
             confirmedReads += effects.confirmedReads
             answerReads()
@@ -517,6 +526,7 @@
         commands.values.forEach { it.onReply(ControlReply.OutcomeUnknown) }
         commands.clear()
         state.policy?.let(::offer)
+        offerRollouts()
     }
 
     private fun apply(entry: LogEntry) {
@@ -552,6 +562,8 @@
 
     private fun offer(policy: AcceptedPolicy) = notify { listener.onPolicy(policy) }
 
+    private fun offerRollouts() = notify { listener.onRollouts(state.rollouts) }
+
     /** Runs [call], whose failure must not keep the replica from carrying out its effects. */
     private inline fun notify(call: () -> Unit) {
         contain({ log.error("a listener of the control replica has failed", it) }, call)
@@ -578,6 +590,11 @@
 
         is ControlQuery.PolicyOf -> ControlReply.PolicyRead(state.findPolicyOrNull(query.revision))
 
+        is ControlQuery.RolloutOf ->
+            ControlReply.RolloutsRead(listOfNotNull(state.findRolloutOrNull(query.service)))
+
+        ControlQuery.Rollouts -> ControlReply.RolloutsRead(state.rollouts)
+
         is ControlQuery.Apply, is ControlQuery.ChangeMembers -> ControlReply.OutcomeUnknown
     }
 
--- a/daemon/src/main/kotlin/io/primroseflow/daemon/entry/EntryHost.kt
+++ b/daemon/src/main/kotlin/io/primroseflow/daemon/entry/EntryHost.kt
@@ -287,7 +287,7 @@
 
             // While it is detached, this host reads the target directory itself.
             is PeerMessage.FleetNews -> if (link.isAttached || slots.targets.isEmpty()) {
-                slots.onTargets(message.version, message.targets)
+                slots.onTargets(message.version, message.targets, message.rollouts)
             }
 
             is PeerMessage.PolicyPush -> policy.offer(message.policy)
--- a/daemon/src/main/kotlin/io/primroseflow/daemon/entry/SlotClient.kt
+++ b/daemon/src/main/kotlin/io/primroseflow/daemon/entry/SlotClient.kt
@@ -1,5 +1,6 @@
 package io.primroseflow.daemon.entry
 
+import io.primroseflow.control.Rollout
 import io.primroseflow.daemon.EventLog
 import io.primroseflow.daemon.fleet.HOST_TIMEOUT
 import io.primroseflow.daemon.fleet.logQuarantine
@@ -101,6 +102,10 @@
     private var policy: RoutedPolicy? = null
     private var isRefusing = false
 
+    /** Latest rollouts that the shared scheduler has told. */
+    private var rollouts: List<Rollout> = emptyList()
+    private val knownVersions = KnownVersions()
+
     /** Grants for a former process of this host must not meet the tickets of this one. */
     private var lastTicketNumber = random.firstNumberOfProcess()
 
@@ -177,11 +182,21 @@
         localScheduler?.updatePolicy(policy, clock.now())
     }
 
-    /** Replaces the list of targets. */
-    fun onTargets(version: Long, targets: List<FleetTarget>) {
+    /**
+     * Replaces the list of targets.
+     *
+     * @param version version of the list; 0 for a list that this host has read by itself
+     * @param rollouts latest rollouts of all services, `null` if the list does not tell them
+     */
+    fun onTargets(version: Long, targets: List<FleetTarget>, rollouts: List<Rollout>? = null) {
         fleetVersion = version
-        this.targets = targets
-        localScheduler?.let { deliver(it.updateTargets(targets, clock.now())) }
+        if (version > 0) knownVersions.learn(targets)
+        this.targets = if (version > 0) targets else knownVersions.usable(targets)
+        if (rollouts != null) this.rollouts = rollouts
+        localScheduler?.let {
+            deliver(it.updateRollouts(this.rollouts, clock.now()))
+            deliver(it.updateTargets(this.targets, clock.now()))
+        }
     }
 
     /** Passes the conditions and rates of targets, which have changed, on to the scheduler at once. */
@@ -266,6 +281,7 @@
         localScheduler = scheduler
         scheduler.updateConditions(self, conditions(), now)
         scheduler.updateRates(rates.current(now), now)
+        scheduler.updateRollouts(rollouts, now)
         scheduler.updateTargets(targets, now)
         val slots = held.values.map { HeldSlot(it.request, it.target.id) }
         val holdings = HostHoldings(slots, waiting.values.map { it.request })
--- a/daemon/src/main/kotlin/io/primroseflow/daemon/fleet/SharedScheduler.kt
+++ b/daemon/src/main/kotlin/io/primroseflow/daemon/fleet/SharedScheduler.kt
@@ -1,7 +1,9 @@
 package io.primroseflow.daemon.fleet
 
 import io.primroseflow.control.AcceptedPolicy
+import io.primroseflow.control.ControlCommand
 import io.primroseflow.control.PolicyRevision
+import io.primroseflow.control.Rollout
 import io.primroseflow.daemon.EventLog
 import io.primroseflow.daemon.peer.PeerMessage
 import io.primroseflow.daemon.peer.QuarantineReport
@@ -20,6 +22,8 @@
 import io.primroseflow.fleet.HostHoldings
 import io.primroseflow.fleet.PartQuarantine
 import io.primroseflow.fleet.QuotaTolerance
+import io.primroseflow.fleet.RolloutLimits
+import io.primroseflow.fleet.RolloutStatus
 import io.primroseflow.fleet.SchedulingFeatures
 import io.primroseflow.fleet.SlotDecision
 import io.primroseflow.fleet.SlotRefusal
@@ -71,6 +75,16 @@
      * @param onRead called with the revision that was read; not called if the read fails
      */
     fun confirmPolicy(onRead: (PolicyRevision) -> Unit)
+
+    /**
+     * Reads the latest rollouts with the confirmation of a quorum.
+     *
+     * @param onRead called with the rollouts; not called if the read fails
+     */
+    fun readRollouts(onRead: (List<Rollout>) -> Unit)
+
+    /** Proposes the [end] of a rollout, which may be lost. */
+    fun endRollout(end: ControlCommand.EndRollout)
 }
 
 /**
@@ -85,7 +99,8 @@
     private val tolerance: QuotaTolerance,
     private val retryLimits: RetryLimits,
     private val log: EventLog,
-    private val features: SchedulingFeatures = SchedulingFeatures.NONE
+    private val features: SchedulingFeatures = SchedulingFeatures.NONE,
+    private val rolloutLimits: RolloutLimits = RolloutLimits()
 ) {
     private class HostEntry(val heardAt: Instant, val report: PeerMessage.HostReport) {
         var isAttached = true
@@ -103,6 +118,11 @@
     /** Shares of the known hosts, or `null` after a change of the hosts. */
     private var shares: Map<HostId, FleetShare>? = null
     private var pendingReports = ArrayList<PendingReport>()
+    private val rollouts = RolloutTasks(group, clock, log)
+
+    /** What is known of the running rollouts, empty while this host is not the leader. */
+    val rolloutStatuses: List<RolloutStatus>
+        get() = scheduler?.rolloutStatuses(clock.now()).orEmpty()
 
     /** Gauges of the scheduler, or `null` while this host is not the leader. */
     val status: FleetStatus? get() = scheduler?.status()
@@ -133,17 +153,35 @@
         listedAt = clock.now()
         if (hadTargetList && targets == targetList.targets) return
         val changes = describeChanges(targetList.targets, targets)
-        targetList = VersionedTargets(
-            maxOf(targetList.version + 1, clock.now().toEpochMilliseconds()),
-            targets
-        )
+        targetList = VersionedTargets(nextListVersion(), targets)
         log.info("targets_changed", "version" to targetList.version, "changes" to changes)
         val active = scheduler ?: return
         deliver(active.updateTargets(targets, clock.now()))
-        val news = PeerMessage.FleetNews(targetList.version, targets)
-        hosts.forEach { (host, entry) -> if (entry.isAttached) group.send(host, news) }
+        publishTargets()
+    }
+
+    private fun publishTargets() {
+        hosts.forEach { (host, entry) -> if (entry.isAttached) group.send(host, fleetNews()) }
+    }
+
+    private fun fleetNews() =
+        PeerMessage.FleetNews(targetList.version, targetList.targets, rollouts.latest)
+
+    /** Applies the latest [committed] rollouts and tells all attached hosts. */
+    fun onRollouts(committed: List<Rollout>) {
+        if (!rollouts.onCommitted(committed)) return
+        val active = scheduler ?: return
+        if (rollouts.isKnownIn(term)) {
+            deliver(active.updateRollouts(rollouts.latest, clock.now()))
+        }
+        if (!hasTargetList) return
+        // Hosts that miss the news report the earlier version and are told again.
+        targetList = targetList.copy(version = nextListVersion())
+        publishTargets()
     }
 
+    private fun nextListVersion() = maxOf(targetList.version + 1, clock.now().toEpochMilliseconds())
+
     /**
      * Handles [message] from entry host [from]. While this host is not the leader, it answers
      * reports with a hint to the leader and ignores other messages.
@@ -196,7 +234,12 @@
             deliver(active.detachHost(host, hosts.size, now))
         }
         removeSilentHosts(active, now)
+        rollouts.awaitKnown(term) { committed ->
+            onRollouts(committed)
+            scheduler?.let { deliver(it.updateRollouts(rollouts.latest, clock.now())) }
+        }
         deliver(active.tick(now))
+        rollouts.carryOut(term, active.rolloutStatuses(now))
         publishQuarantine(active)
     }
 
@@ -322,7 +365,7 @@
             if (report.term == term) synchronizeQuarantine(active, from, it)
         }
         if (hasTargetList && report.fleet != targetList.version) {
-            group.send(from, PeerMessage.FleetNews(targetList.version, targetList.targets))
+            group.send(from, fleetNews())
         }
         active.updateConditions(from, report.conditions.toConditions(now), now)
         onRates(active, from, report)
@@ -372,8 +415,10 @@
         val fresh = FleetScheduler(
             tolerance = tolerance,
             retryLimits = retryLimits,
-            features = features
+            features = features,
+            rolloutLimits = rolloutLimits
         )
+        fresh.awaitRollouts()
         policy.table?.let { fresh.updatePolicy(it.policy, now) }
         if (now - listedAt > TARGET_LIST_MAX_AGE) hasTargetList = false
         if (hasTargetList) fresh.updateTargets(targetList.targets, now)
--- a/daemon/src/main/kotlin/io/primroseflow/daemon/peer/PeerMessages.kt
+++ b/daemon/src/main/kotlin/io/primroseflow/daemon/peer/PeerMessages.kt
@@ -7,6 +7,7 @@
 import io.primroseflow.control.ControlCommand
 import io.primroseflow.control.PolicyHead
 import io.primroseflow.control.PolicyRevision
+import io.primroseflow.control.Rollout
 import io.primroseflow.daemon.request.HeaderField
 import io.primroseflow.fleet.FleetShare
 import io.primroseflow.fleet.FleetTarget
@@ -20,6 +21,7 @@
 import io.primroseflow.model.RequestId
 import io.primroseflow.model.TeamId
 import io.primroseflow.request.Outcome
+import io.primroseflow.routing.ServiceId
 import io.primroseflow.timeline.HybridTime
 import kotlinx.serialization.SerialName
 import kotlinx.serialization.Serializable
@@ -59,6 +61,16 @@
     @SerialName("his")
     data object PolicyHistory : ControlQuery
 
+    /** Reads the latest rollout of [service]. */
+    @Serializable
+    @SerialName("rol")
+    data class RolloutOf(val service: ServiceId) : ControlQuery
+
+    /** Reads the latest rollouts of all services. */
+    @Serializable
+    @SerialName("rls")
+    data object Rollouts : ControlQuery
+
     /** Applies [change] to the membership of [host]. */
     @Serializable
     @SerialName("mem")
@@ -83,6 +95,11 @@
     @SerialName("his")
     data class HistoryRead(val heads: List<PolicyHead>) : ControlReply
 
+    /** The latest rollouts that were asked for; a service without one has none. */
+    @Serializable
+    @SerialName("rol")
+    data class RolloutsRead(val rollouts: List<Rollout>) : ControlReply
+
     /** The membership change was committed. */
     @Serializable
     @SerialName("mem")
@@ -347,12 +364,18 @@
         @SerialName("r") val rates: List<StatedRateRecord>
     ) : Scheduling
 
-    /** The target list with [version]. */
+    /**
+     * The target list with [version].
+     *
+     * @property rollouts the latest rollout of each service, of which a host on its own uses the
+     *   versions accordingly
+     */
     @Serializable
     @SerialName("flt")
     data class FleetNews(
         @SerialName("v") val version: Long,
-        @SerialName("t") val targets: List<FleetTarget>
+        @SerialName("t") val targets: List<FleetTarget>,
+        @SerialName("o") val rollouts: List<Rollout> = emptyList()
     ) : Scheduling
 
     /** The sender runs a control replica and asks to join the control group. */
--- a/daemon/src/test/kotlin/io/primroseflow/daemon/fleet/ExtremeReportsTest.kt
+++ b/daemon/src/test/kotlin/io/primroseflow/daemon/fleet/ExtremeReportsTest.kt
@@ -9,9 +9,11 @@
 import io.kotest.matchers.nulls.shouldNotBeNull
 import io.kotest.matchers.shouldBe
 import io.primroseflow.control.AcceptedPolicy
+import io.primroseflow.control.ControlCommand
 import io.primroseflow.control.OperationId
 import io.primroseflow.control.PolicyHead
 import io.primroseflow.control.PolicyRevision
+import io.primroseflow.control.Rollout
 import io.primroseflow.daemon.EventLog
 import io.primroseflow.daemon.peer.HeldSlotRecord
 import io.primroseflow.daemon.peer.PeerMessage
@@ -200,6 +202,10 @@
         }
 
         override fun confirmPolicy(onRead: (PolicyRevision) -> Unit) = onRead(PolicyRevision(1))
+
+        override fun readRollouts(onRead: (List<Rollout>) -> Unit) = onRead(emptyList())
+
+        override fun endRollout(end: ControlCommand.EndRollout) = Unit
     }
     private val log = EventLog("test", "c")
     private val policy = RoutedPolicyInForce({ Ok(routedPolicy) }, log) {}
