--- a/daemon/src/test/kotlin/io/primroseflow/daemon/entry/RoutedFixture.kt
+++ b/daemon/src/test/kotlin/io/primroseflow/daemon/entry/RoutedFixture.kt
@@ -144,7 +144,8 @@
     lease: Duration = 5.seconds,
     grace: Duration = 6.seconds,
     changes: Map<String, PolicyChange> = emptyMap(),
-    dialect: Dialect = TestDialect
+    dialect: Dialect = TestDialect,
+    versions: List<String> = emptyList()
 ) : AutoCloseable {
     private val decoder = decoderOf(changes)
     private val folder = Files.createTempDirectory("control")
@@ -166,7 +167,8 @@
                     target.address,
                     DataCentreId("d"),
                     slots = 4,
-                    isLeaving = false
+                    isLeaving = false,
+                    version = versions.getOrNull(index)
                 )
             }
         )
@@ -233,6 +235,11 @@
 
     fun read() = runBlocking(worker) { control.read() }
 
+    fun startRollout(version: String, duration: Duration) =
+        runBlocking(worker) { control.startRollout(ServiceId("s"), version, duration) }
+
+    fun readRollout() = runBlocking(worker) { control.readRollout(ServiceId("s")) }
+
     fun beginStop() = scope.launch { entry.stop() }
 
     fun readiness(): Int = status("/ready", settings.readyPort)
