--- a/core/src/test/kotlin/io/primroseflow/fleet/RolloutSimulation.kt
+++ b/core/src/test/kotlin/io/primroseflow/fleet/RolloutSimulation.kt
@@ -147,7 +147,7 @@
         } else {
             SlotEnd.Served(millis / 10, millis, tokens)
         }
-        val isQuick = answer.isFailure || isNew && dead(index, at)
+        val isQuick = answer.isFailure || (isNew && dead(index, at))
         val takes = if (isQuick) 20 else millis
         ends += End(now + takes.milliseconds, grant.ticket, end)
     }
