--- a/core/src/main/kotlin/io/primroseflow/fleet/ServiceState.kt
+++ b/core/src/main/kotlin/io/primroseflow/fleet/ServiceState.kt
@@ -36,15 +36,18 @@
  * @param conditions what hosts report about targets
  * @param quarantine keeps requests apart that may end targets
  * @param pacing keeps targets within the rates that they have stated
+ * @param rollouts decides which versions of the service may get a request
  * @param features optional parts of scheduling that are on
  */
 internal class ServiceState(
     conditions: ReportedConditions,
     quarantine: PartQuarantine,
     pacing: TargetPacing,
+    rollouts: RolloutGate,
     features: SchedulingFeatures = SchedulingFeatures.NONE
 ) {
-    val targets = ServiceTargets(conditions, quarantine, pacing, features.weighsPlacement)
+    val targets =
+        ServiceTargets(conditions, quarantine, pacing, rollouts, features.weighsPlacement)
     val queue = SlotRequestQueue()
 
     /** Order and refusals while [sharesShortage] is on, otherwise `null`. */
--- a/core/src/main/kotlin/io/primroseflow/fleet/ServiceTargets.kt
+++ b/core/src/main/kotlin/io/primroseflow/fleet/ServiceTargets.kt
@@ -20,12 +20,14 @@
  * @param conditions what hosts report about targets
  * @param quarantine keeps requests apart that may end targets
  * @param pacing keeps targets within the rates that they have stated
+ * @param rollouts decides which versions of the service may get a request
  * @param weighsPlacement whether targets are compared by [Placement] even if they state no paces
  */
 internal class ServiceTargets(
     private val conditions: ReportedConditions,
     private val quarantine: PartQuarantine,
     private val pacing: TargetPacing,
+    private val rollouts: RolloutGate,
     private val weighsPlacement: Boolean = false
 ) {
     private val states = LinkedHashMap<TargetId, TargetState>()
@@ -74,6 +76,7 @@
         conditions,
         quarantine,
         pacing,
+        rollouts,
         TargetWork(TargetSpeed(costs))
     )
 
--- a/core/src/main/kotlin/io/primroseflow/fleet/TargetState.kt
+++ b/core/src/main/kotlin/io/primroseflow/fleet/TargetState.kt
@@ -71,6 +71,7 @@
  * @param conditions what hosts report about the target
  * @param quarantine keeps requests apart that may end targets
  * @param pacing keeps the target within the rate that it has stated
+ * @param rollouts decides which versions of the service may get a request
  * @property work what was placed at the target, and how fast it works
  */
 internal class TargetState(
@@ -79,6 +80,7 @@
     private val conditions: ReportedConditions,
     private val quarantine: PartQuarantine,
     private val pacing: TargetPacing,
+    private val rollouts: RolloutGate,
     val work: TargetWork
 ) {
     var target: FleetTarget = target
@@ -166,7 +168,8 @@
         val unreachable = unreachableFrom[request.dataCentre]
         val isReachable = unreachable == null || now >= unreachable.until
         return isReachable && isUsable(now) && target.id !in request.excluded &&
-            restWait(request, now) == Duration.ZERO && quarantine.allows(request, target.id)
+            restWait(request, now) == Duration.ZERO && quarantine.allows(request, target.id) &&
+            rollouts.allows(request.route, target, now)
     }
 
     /** Returns the time until the target takes requests of the host of [request] again. */
@@ -191,7 +194,7 @@
      * the rate of the target fills.
      */
     fun usableSlots(millis: Double, now: Instant): Double {
-        if (!isUsable(now)) return 0.0
+        if (!isUsable(now) || !rollouts.hasCapacity(target, now)) return 0.0
         val slots = slotLimit.toDouble()
         return pacing.perSecondOrNull(target.id)?.let { minOf(slots, it * millis / 1_000) } ?: slots
     }
--- a/core/src/test/kotlin/io/primroseflow/fleet/PlacementTest.kt
+++ b/core/src/test/kotlin/io/primroseflow/fleet/PlacementTest.kt
@@ -67,7 +67,8 @@
                 val service = ServiceState(
                     ReportedConditions(),
                     PartQuarantine(),
-                    TargetPacing(null)
+                    TargetPacing(null),
+                    RolloutGate(null)
                 )
                 service.targets.update(listOf(fleetTarget("a")), mapOf(TargetId("a") to 1))
                 service.advertisesPace(start) shouldBe false
--- a/daemon/src/test/kotlin/io/primroseflow/daemon/entry/RoutedFixture.kt
+++ b/daemon/src/test/kotlin/io/primroseflow/daemon/entry/RoutedFixture.kt
@@ -147,7 +147,8 @@
     changes: Map<String, PolicyChange> = emptyMap(),
     dialect: Dialect = TestDialect,
     boundsSlowCallers: Boolean = false,
-    features: SchedulingFeatures = SchedulingFeatures.NONE
+    features: SchedulingFeatures = SchedulingFeatures.NONE,
+    versions: List<String> = emptyList()
 ) : AutoCloseable {
     private val decoder = decoderOf(changes)
     private val folder = Files.createTempDirectory("control")
@@ -169,7 +170,8 @@
                     target.address,
                     DataCentreId("d"),
                     slots = 4,
-                    isLeaving = false
+                    isLeaving = false,
+                    version = versions.getOrNull(index)
                 )
             }
         )
@@ -239,6 +241,11 @@
 
     fun read() = runBlocking(worker) { control.read() }
 
+    fun startRollout(version: String, duration: Duration) =
+        runBlocking(worker) { control.startRollout(ServiceId("s"), version, duration) }
+
+    fun readRollout() = runBlocking(worker) { control.readRollout(ServiceId("s")) }
+
     fun beginStop() = scope.launch { entry.stop() }
 
     fun readiness(): Int = status("/ready", settings.readyPort)
