Measure the cost of grants of the scheduler of all hosts

The slopes measured PoolScheduler only, so that the cost of FleetScheduler, which grants the slots of all hosts, was not known.

--- a/bench/src/main/kotlin/io/primroseflow/bench/SlopesCommand.kt
+++ b/bench/src/main/kotlin/io/primroseflow/bench/SlopesCommand.kt
@@ -2,6 +2,7 @@
 
 import io.primroseflow.bench.slopes.printControlSlopes
 import io.primroseflow.bench.slopes.printDecisionSlopes
+import io.primroseflow.bench.slopes.printFleetSlopes
 import kotlinx.cli.ExperimentalCli
 import kotlinx.cli.Subcommand
 
@@ -11,6 +12,7 @@
     Subcommand("slopes", "Measure the cost of decisions and of the control state against size") {
     override fun execute() {
         printDecisionSlopes()
+        printFleetSlopes()
         printControlSlopes()
     }
 }
