--- a/daemon/src/main/kotlin/io/primroseflow/daemon/fleet/SharedScheduler.kt
+++ b/daemon/src/main/kotlin/io/primroseflow/daemon/fleet/SharedScheduler.kt
@@ -113,6 +113,7 @@
 
     private class PendingReport(val host: HostId, val number: Long)
 
+    private val shortageLog = ShortageLog(log)
     private var term = 0L
     private var scheduler: FleetScheduler? = null
     private var targetList = VersionedTargets(0, emptyList())
@@ -247,6 +248,7 @@
         }
         deliver(active.tick(now))
         rollouts.carryOut(term, active.rolloutStatuses(now))
+        shortageLog.update(active, now)
         publishQuarantine(active)
     }
 
