Keep long queues from being looked at once for each request set aside

Cause: each request set aside for a cached part costs another look at the queue, which has copied the due times of all waiting requests.

Change: with more than 100 requests waiting, none is set aside; bestCachedAt then finds a request for each slot whose prompt is cached there.

--- a/core/src/main/kotlin/io/primroseflow/fleet/PlacementWaits.kt
+++ b/core/src/main/kotlin/io/primroseflow/fleet/PlacementWaits.kt
@@ -15,6 +15,13 @@
 /** Maximum number of requests of a service that wait for targets while others have slots. */
 private const val MAX_WAITING = 16
 
+/**
+ * Number of waiting requests of a service above which none lets others go first by choice. Each one
+ * set aside costs another look at the queue, and a long queue has a request for each slot whose
+ * prompt is cached there, which [ServiceState.bestCachedAt] finds.
+ */
+private const val MAX_QUEUE = 100
+
 /** Time after which the end of a wait is forgotten. */
 private val WAIT_RETENTION: Duration = 5.seconds
 
@@ -48,16 +55,18 @@
     /**
      * Returns whether [estimated] waits for a busy target although it could start at [free].
      *
+     * @param queued number of waiting requests of the service
      * @param interval expected time between two grants of the service
      */
     fun tryWait(
         estimated: EstimatedRequest,
         free: TargetState,
+        queued: Int,
         interval: Duration,
         now: Instant
     ): Boolean {
         val request = estimated.request
-        if (!request.isStream || waiting.size >= MAX_WAITING) return false
+        if (!request.isStream || queued > MAX_QUEUE || waiting.size >= MAX_WAITING) return false
         val slack = estimated.latestStartForGoal - now
         val slackAtFree = Placement.goalSlack(free, estimated, now)
         val isLate = slackAtFree < Duration.ZERO
--- a/core/src/main/kotlin/io/primroseflow/fleet/ServiceState.kt
+++ b/core/src/main/kotlin/io/primroseflow/fleet/ServiceState.kt
@@ -110,7 +110,8 @@
      */
     fun trySetAside(first: EstimatedRequest, free: TargetState, now: Instant): Boolean {
         if (!targets.weighsPlacement(now)) return false
-        val isWaiting = waits.tryWait(first, free, overallGrantRate.expectedTime(1, now), now)
+        val interval = overallGrantRate.expectedTime(1, now)
+        val isWaiting = waits.tryWait(first, free, queue.size, interval, now)
         if (isWaiting) queue.setAside(first)
         return isWaiting
     }
