--- a/core/src/main/kotlin/io/primroseflow/fleet/Placement.kt
+++ b/core/src/main/kotlin/io/primroseflow/fleet/Placement.kt
@@ -44,7 +44,7 @@
             if (!state.canStart(estimated, kvCapacity, now, isLimitCounted = true)) continue
             val millis = costMillis(state, estimated, now)
             val isBetter = millis < bestMillis ||
-                best != null && millis == bestMillis && state.inFlight < best.inFlight
+                (best != null && millis == bestMillis && state.inFlight < best.inFlight)
             if (!isBetter) continue
             best = state
             bestMillis = millis
--- a/core/src/main/kotlin/io/primroseflow/fleet/PlacementWaits.kt
+++ b/core/src/main/kotlin/io/primroseflow/fleet/PlacementWaits.kt
@@ -96,7 +96,7 @@
             val uncached = state.uncachedTokens(request)
             val isCached = uncached <= request.promptTokens / 2 &&
                 uncachedAtFree - uncached >= MIN_SAVED_TOKENS
-            if (!isCached && !isLate || !state.isEligible(request, now)) continue
+            if ((!isCached && !isLate) || !state.isEligible(request, now)) continue
             val ahead = waitingFor[state.target.id] ?: 0
             val wait = state.work.millisUntilFree(ahead + 1, now)
             if (wait > spare / 1.milliseconds) continue
