--- a/core/src/main/kotlin/io/primroseflow/fleet/EstimatedRequest.kt
+++ b/core/src/main/kotlin/io/primroseflow/fleet/EstimatedRequest.kt
@@ -12,15 +12,22 @@
  *
  * @property outputTokens expected length of the answer in tokens
  * @property nominalMillis expected time in a slot of a target of mean speed, in milliseconds
+ * @property hasPlace whether its caller was told to return now, see [ReturnPlaces]
+ * @param promptMillis time of a target of mean speed for a prompt token, in milliseconds
  */
 internal class EstimatedRequest(
     val request: SlotRequest,
     val outputTokens: Int,
-    val nominalMillis: Double
+    val nominalMillis: Double,
+    val hasPlace: Boolean = false,
+    private val promptMillis: Double = PREFILL_MILLIS_PER_TOKEN
 ) {
+    /** What was expected when the request was placed at a target, `null` before that. */
+    var placed: PlacedRequest? = null
+
     private val startDuration: Duration = (
         if (request.isStream) {
-            START_OVERHEAD_MILLIS + request.promptTokens * PREFILL_MILLIS_PER_TOKEN
+            START_OVERHEAD_MILLIS + request.promptTokens * promptMillis
         } else {
             nominalMillis
         }
@@ -32,17 +39,40 @@
     /** Latest time of a grant for the answer to begin before the caller leaves. */
     val latestUsefulStart: Instant = minOf(request.startBy, request.deadline) - startDuration
 
+    /** Latest time of a grant that may still let the answer be of use. */
+    val latestUse: Instant = minOf(
+        latestUsefulStart,
+        request.deadline - (nominalMillis * MIN_DURATION_FRACTION).milliseconds
+    )
+
+    /**
+     * Whether the request goes ahead of others of its team. The work that another target has done for
+     * a retry would be lost with it, and [io.primroseflow.limits.RetryBudget] bounds the retries.
+     */
+    val hasPrecedence: Boolean get() = hasPlace || request.isRetry
+
+    /**
+     * Latest time of a grant in time. A retry continues an answer that is under way, whose goal has
+     * passed, so that only its caller's leave counts.
+     */
+    val inTimeUntil: Instant =
+        if (request.isRetry) latestUse else minOf(latestStartForGoal, latestUse)
+
+    /** Returns the same request with a place. */
+    fun withPlace() =
+        EstimatedRequest(request, outputTokens, nominalMillis, hasPlace = true, promptMillis)
+
     /** Returns the latest time of a grant for the goal or, if that has passed, for any use. */
     fun dueAt(now: Instant): Instant =
         if (latestStartForGoal >= now) latestStartForGoal else latestUsefulStart
 
     /** Tokens that the request occupies in a KV cache when it completes. */
     val kvTokens: Long get() = (request.promptTokens + outputTokens).toLong()
+
+    /** Tokens that the request occupies in a KV cache if its answer has the full length. */
+    val limitTokens: Long get() = request.promptTokens.toLong() + request.outputLimit
 }
 
 /** Returns `true` if a grant after [wait] may still let the answer be of use. */
 internal fun EstimatedRequest.isInTimeAfter(wait: Duration, now: Instant): Boolean =
-    now + wait <= minOf(
-        latestUsefulStart,
-        request.deadline - (nominalMillis * MIN_DURATION_FRACTION).milliseconds
-    )
+    now + wait <= latestUse
--- a/core/src/main/kotlin/io/primroseflow/fleet/FleetScheduler.kt
+++ b/core/src/main/kotlin/io/primroseflow/fleet/FleetScheduler.kt
@@ -1,11 +1,13 @@
 package io.primroseflow.fleet
 
+import io.primroseflow.control.Rollout
 import io.primroseflow.limits.RateTurns
 import io.primroseflow.limits.RetryBudget
 import io.primroseflow.limits.RetryLimits
 import io.primroseflow.model.HostId
 import io.primroseflow.model.TargetId
 import io.primroseflow.model.TeamId
+import io.primroseflow.routing.RouteId
 import io.primroseflow.routing.RoutedPolicy
 import io.primroseflow.routing.RoutedService
 import io.primroseflow.routing.ServiceId
@@ -38,6 +40,8 @@
  * @param turns turns in which a host on its own uses the rates that targets have stated, `null` for
  *   the scheduler of all other hosts
  * @param features optional parts of scheduling that are on
+ * @param rolloutLimits limits of the rollouts that this scheduler carries out; `null` for a host on
+ *   its own, which uses no version that is being rolled out
  */
 public class FleetScheduler(
     private val share: FleetShare = FleetShare(),
@@ -46,7 +50,8 @@
     private val neededSlots: Map<ServiceId, Int> = emptyMap(),
     public val quarantine: PartQuarantine = PartQuarantine(),
     turns: RateTurns? = null,
-    private val features: SchedulingFeatures = SchedulingFeatures.NONE
+    private val features: SchedulingFeatures = SchedulingFeatures.NONE,
+    rolloutLimits: RolloutLimits? = null
 ) {
     private class RunningRequest(
         val estimated: EstimatedRequest,
@@ -59,11 +64,18 @@
     private val services = HashMap<ServiceId, ServiceState>()
     private val conditions = ReportedConditions()
     private val pacing = TargetPacing(turns)
+    private val rollouts = RolloutGate(rolloutLimits)
     private val running = HashMap<SlotTicket, RunningRequest>()
     private val runningByHost = HashMap<HostId, HashMap<SlotTicket, RunningRequest>>()
-    private val quotas = TeamQuotas(tolerance)
+    private val quotas = TeamQuotas(tolerance, admitsBursts = features.sharesShortage)
+    private val counters = AdmissionCounters()
+    private var tickedAt = Instant.DISTANT_PAST
+
+    /** Mean of the quotas per second, 1 if there are none. */
+    private var meanQuota = 1.0
     private val retryBudgets = HashMap<ServiceId, RetryBudget>()
     private var retriesAllowedSince = Instant.DISTANT_PAST
+    private val hedging = features.hedging?.let(::HedgeControl)
 
     /** Requests that wait, uncharged, for the outcome of others with a suspected part. */
     private val delayed = LinkedHashMap<SlotTicket, SlotRequest>()
@@ -78,6 +90,8 @@
     public fun updatePolicy(policy: RoutedPolicy, now: Instant) {
         this.policy = policy
         routedServices = policy.services
+        meanQuota = policy.teams.values.mapNotNull { it.quota?.perSecond }.filter { it > 0 }
+            .average().takeIf { it > 0 } ?: 1.0
         quotas.update(policy.teams, { team, _ -> quotaFractionOf(team) }, now)
         applyTargets()
     }
@@ -86,10 +100,29 @@
     public fun updateTargets(targets: List<FleetTarget>, now: Instant): List<SlotDecision> {
         listedTargets = targets
         isTargetListKnown = true
+        rollouts.updateTargets(targets)
         applyTargets()
         return services.values.flatMap { grantAll(it, now) }
     }
 
+    /**
+     * Replaces what is known of the latest rollout of each service, and grants the slots that became
+     * available.
+     */
+    public fun updateRollouts(latest: List<Rollout>, now: Instant): List<SlotDecision> {
+        rollouts.update(latest, now)
+        return services.values.flatMap { grantAll(it, now) }
+    }
+
+    /**
+     * Grants nothing to services of several versions until [updateRollouts] is called, as one of
+     * their versions may be under a rollout that this scheduler does not know yet.
+     */
+    public fun awaitRollouts() = rollouts.awaitUpdate()
+
+    /** Returns what is known of the running rollouts. */
+    public fun rolloutStatuses(now: Instant): List<RolloutStatus> = rollouts.statuses(now)
+
     /**
      * Replaces the conditions of targets that [host] reports. Targets that any host reports as
      * leaving get no further requests; those that rest get none of this host.
@@ -114,6 +147,22 @@
         return hasChanged
     }
 
+    /** Records the paces of targets that a host has [reported]. */
+    public fun updatePaces(reported: Map<TargetId, StatedPace>, now: Instant) {
+        if (reported.isEmpty()) return
+        services.values.forEach { it.targets.recordPaces(reported, now) }
+    }
+
+    /**
+     * Returns the time for each route after which a first attempt counts as slow, so that its host
+     * may ask for a hedge; routes without enough recent answers are missing.
+     */
+    public fun hedgeDelays(now: Instant): Map<RouteId, Duration> = hedging?.delays(now).orEmpty()
+
+    /** Returns the time for [route] as in [hedgeDelays], or `null`. */
+    public fun hedgeDelayOrNull(route: RouteId, now: Instant): Duration? =
+        hedging?.delayOrNull(route, now)
+
     /** Digest of the rates in force, see [HostRates.digest]. */
     public val rateDigest: Int get() = pacing.digest
 
@@ -193,16 +242,20 @@
             PartAdmission.Refused -> listOf(quarantined(request))
 
             PartAdmission.Delayed -> {
+                if (request.isHedge) return listOf(noSpareSlot(request))
                 delayed[request.ticket] = request
                 emptyList()
             }
         }
     }
 
-    private fun quarantined(request: SlotRequest) =
-        SlotDecision.Refuse(request.ticket, SlotRefusal.Quarantined, Duration.ZERO)
+    private fun quarantined(request: SlotRequest): SlotDecision {
+        counters.countRefusal(request.rank, SlotRefusal.Quarantined)
+        return SlotDecision.Refuse(request.ticket, SlotRefusal.Quarantined, Duration.ZERO)
+    }
 
     private fun submitAdmitted(request: SlotRequest, now: Instant): List<SlotDecision> {
+        if (request.isHedge) return listOf(decideHedge(request, now))
         if (request.isRetry && !tryRetry(request.service, now)) {
             return listOf(refusal(request, SlotRefusal.NoRetryLeft, MIN_RETRY_AFTER))
         }
@@ -211,6 +264,33 @@
         return enqueue(request, now)
     }
 
+    /**
+     * Grants [request], a hedge, a slot that is free at once and that nothing waits for, or refuses it.
+     * Hedges are not charged to quotas, as the first attempt was.
+     */
+    private fun decideHedge(request: SlotRequest, now: Instant): SlotDecision {
+        val budget = hedging?.budgetOf(request.service)
+        if (budget?.hasRoom(now) != true) {
+            return refusal(request, SlotRefusal.NoHedgeLeft, MIN_RETRY_AFTER)
+        }
+        val service = stateOf(request.service)
+        val isWaitedFor =
+            service.queue.size > 0 || delayed.values.any { it.service == request.service }
+        // A hedge that names no first target could be granted that one.
+        if (isWaitedFor || request.excluded.isEmpty()) return noSpareSlot(request)
+        val estimated = service.estimate(request, now)
+        val target = service.targets.chooseOrNull(estimated, now) ?: return noSpareSlot(request)
+        if (!tryRetry(request.service, now)) {
+            return refusal(request, SlotRefusal.NoRetryLeft, MIN_RETRY_AFTER)
+        }
+        budget.recordHedge(now)
+        quarantine.onQueued(request, now)
+        return start(estimated, target, now)
+    }
+
+    private fun noSpareSlot(request: SlotRequest) =
+        refusal(request, SlotRefusal.NoSpareSlot, MIN_RETRY_AFTER)
+
     private fun tryRetry(service: ServiceId, now: Instant): Boolean =
         budgetOf(service)?.tryRetry(share.hosts, now) ?: true
 
@@ -225,15 +305,15 @@
     /** Queues [request], whose quota is charged, or refuses it if it cannot be served in time. */
     private fun enqueue(request: SlotRequest, now: Instant): List<SlotDecision> {
         val service = stateOf(request.service)
-        val estimated = service.estimate(request)
+        val plain = service.estimate(request, now)
+        val estimated = service.overload?.withPlace(plain, now) ?: plain
         val refusal = refusalOrNull(service, estimated, now)
         if (refusal != null) {
             quotas.refund(request)
             return listOf(refusal)
         }
         quarantine.onQueued(request, now)
-        service.queue.add(estimated)
-        service.onWaiting(request.rank, now)
+        service.add(estimated, now)
         return grantAll(service, now)
     }
 
@@ -246,7 +326,7 @@
 
     /** Removes the request of [ticket] from the queue of [service], if it is there. */
     private fun dequeue(service: ServiceState, ticket: SlotTicket, now: Instant) {
-        val removed = service.queue.remove(ticket) ?: return
+        val removed = service.remove(ticket) ?: return
         quotas.refund(removed.request)
         quarantine.onEnded(ticket, SlotEnd.Cancelled, now)
     }
@@ -257,8 +337,12 @@
         val service = stateOf(done.request.service)
         val target = service.targets.findOrNull(done.target)
         target?.release(done.estimated)
+        target?.let { rollouts.onEnded(done.request, it.target, done.grantedAt, end, now) }
         when (end) {
-            is SlotEnd.Served -> service.recordServed(target, done.request, end)
+            is SlotEnd.Served -> {
+                service.recordServed(target, done.estimated, end, now)
+                hedging?.onServed(done.request, end, now)
+            }
 
             is SlotEnd.NotRun -> when {
                 end.isUnreachable -> {
@@ -378,23 +462,67 @@
      */
     public fun tick(now: Instant): List<SlotDecision> {
         val decisions = ArrayList<SlotDecision>()
+        tickedAt = now
+        updateSharing(now)
         quotas.settleIfDue(now)
         pacing.expire(now)
         decisions += review(now)
+        rollouts.tick(now, ::formerTargets)
         for (service in services.values) {
-            refuseLate(service, now, decisions)
-            decisions += grantAll(service, now)
+            val control = service.overload
+            if (control == null || pacing.isActive) {
+                refuseLate(service, now, decisions)
+                decisions += grantAll(service, now)
+            } else {
+                // Free slots go to the waiting requests before any of these are refused.
+                decisions += grantAll(service, now)
+                refuseHopeless(service, control, now, decisions)
+            }
         }
         return decisions
     }
 
+    /**
+     * Shares a shortage of slots at the services whose targets state their pace: they share their
+     * machines with others, so that their capacity may shrink at any time.
+     */
+    private fun updateSharing(now: Instant) {
+        if (features.sharesShortage) return
+        for (service in services.values) {
+            val isOn = service.advertisesPace(now)
+            if (isOn == service.sharesShortage) continue
+            if (isOn) service.shareShortage(newControl(), now) else service.stopSharingShortage()
+        }
+        val admitsBursts = services.values.any { it.sharesShortage }
+        if (admitsBursts == quotas.admitsBursts) return
+        quotas.admitsBursts = admitsBursts
+        policy?.let { updatePolicy(it, now) }
+    }
+
+    private fun formerTargets(service: ServiceId, version: String) =
+        formerTargetsOf(stateOf(service).targets.all, version)
+
     /** Returns the current gauges. */
     public fun status(): FleetStatus = FleetStatus(
         waiting = services.values.sumOf { it.queue.size } + delayed.size,
         running = running.size,
-        targets = services.values.sumOf { it.targets.all.size }
+        targets = services.values.sumOf { it.targets.all.size },
+        admission = admissionStatusOf(
+            counters,
+            services.values.mapNotNull {
+                it.overload
+            },
+            tickedAt
+        )
     )
 
+    /** Returns the services whose requests are short of slots, with the shares of their ranks. */
+    public fun shortages(now: Instant): Map<ServiceId, Map<Int, RankShare>> = buildMap {
+        for ((id, service) in services) {
+            service.overload?.takeIf { it.isShort(now) }?.let { put(id, it.shares(now)) }
+        }
+    }
+
     private fun quotaFractionOf(team: TeamId): Double =
         standaloneFractions[team] ?: (1.0 / share.hosts)
 
@@ -410,9 +538,17 @@
     }
 
     private fun stateOf(id: ServiceId) = services.getOrPut(id) {
-        ServiceState(conditions, quarantine, pacing)
+        ServiceState(conditions, quarantine, pacing, rollouts, features).also {
+            if (features.sharesShortage) it.shareShortage(newControl(), Instant.DISTANT_PAST)
+        }
     }
 
+    private fun newControl() = OverloadControl(counters, ::weightOf)
+
+    /** Returns the weight of [team] among others: its quota, or the mean quota if it has none. */
+    private fun weightOf(team: TeamId?): Double =
+        team?.let { policy?.teams?.get(it)?.quota?.perSecond }?.takeIf { it > 0 } ?: meanQuota
+
     private fun applyTargets() {
         val byService = listedTargets
             .map { if (conditions.isLeaving(it.id)) it.copy(isLeaving = true) else it }
@@ -420,6 +556,7 @@
         for (id in services.keys + byService.keys) {
             val state = stateOf(id)
             state.targets.kvCapacity = routedServices[id]?.kvTokens
+            state.targets.pauseLimit = pauseLimitOf(id)
             val listed = byService[id].orEmpty()
             val added = state.targets.update(listed, slotsOf(id, listed))
             for (target in added) countRunning(target)
@@ -427,6 +564,15 @@
         pacing.retain(listedTargets.mapTo(HashSet()) { it.id })
     }
 
+    /** Returns the shortest pause that the routes of [service] allow, or `null` if none has a limit. */
+    private fun pauseLimitOf(service: ServiceId): PauseLimit? {
+        val goal = policy?.routes.orEmpty()
+            .filter { route -> route.isStream && route.split.any { it.service == service } }
+            .mapNotNull { it.pauseGoal }
+            .minOrNull() ?: return null
+        return PauseLimit(goal, routedServices[service]?.eventTokens ?: 1)
+    }
+
     /**
      * Returns the slots at the targets of [service] that this scheduler grants. A host on its own
      * gets its share of the targets without a rate, and a slot of each other one for its turns.
@@ -449,8 +595,11 @@
     /** Restores the slot that a host reports to hold, without a new grant. */
     private fun restore(slot: HeldSlot, now: Instant) {
         val service = stateOf(slot.request.service)
-        val estimated = service.queue.remove(slot.request.ticket) ?: service.estimate(slot.request)
-        service.targets.findOrNull(slot.target)?.start(estimated)
+        val estimated =
+            service.remove(slot.request.ticket) ?: service.estimate(slot.request, now)
+        val target = service.targets.findOrNull(slot.target)
+        target?.start(estimated)
+        target?.let { rollouts.onRestored(slot.request, it.target, now) }
         quarantine.onGranted(slot.request, slot.target, now)
         addRunning(slot.request.ticket, RunningRequest(estimated, slot.target, now))
     }
@@ -458,15 +607,19 @@
     /** Grants slots to the waiting requests of [service] for as long as any request fits. */
     private fun grantAll(service: ServiceState, now: Instant): List<SlotDecision> {
         val decisions = ArrayList<SlotDecision>()
+        service.waits.startRound(now)
         while (true) {
             val first = service.nextOrNull(now) ?: break
-            val choice = service.targets.chooseOrNull(first, now)
+            val free = rollouts
+                .chooseForTest(first.request, now) { service.targets.chooseOrNull(first, now) }
+            if (free != null && service.trySetAside(first, free, now)) continue
+            val choice = free
                 ?.let { service.bestCachedAt(it, first, now) to it }
                 ?: backfillOrNull(service, now)
                 ?: break
             val (estimated, target) = choice
             val ticket = estimated.request.ticket
-            service.queue.remove(ticket)
+            service.remove(ticket)
             if (!quotas.hasRoom(estimated.request, now)) {
                 quarantine.onEnded(ticket, SlotEnd.Cancelled, now)
                 decisions += refusal(estimated.request, SlotRefusal.OverQuota, QUOTA_WINDOW_RETRY)
@@ -474,18 +627,33 @@
             }
             quotas.recordUse(estimated.request, now)
             val isFirst = !estimated.request.isRetry
-            if (isFirst) budgetOf(estimated.request.service)?.recordFirstAttempt(now)
-            target.onGranted(estimated.request, now)
-            target.beginPrefill(estimated, now)
-            target.start(estimated)
-            quarantine.onGranted(estimated.request, target.target.id, now)
-            addRunning(ticket, RunningRequest(estimated, target.target.id, now))
-            service.onGrant(estimated.request.rank, now)
-            decisions += SlotDecision.Grant(ticket, target.target)
+            if (isFirst) {
+                budgetOf(estimated.request.service)?.recordFirstAttempt(now)
+                hedging?.budgetOf(estimated.request.service)?.recordFirstAttempt(now)
+            }
+            decisions += start(estimated, target, now)
+            service.onGrant(estimated, now)
         }
+        service.endRound(now)
         return decisions
     }
 
+    /** Takes a slot at [target] for [estimated]. */
+    private fun start(
+        estimated: EstimatedRequest,
+        target: TargetState,
+        now: Instant
+    ): SlotDecision {
+        val request = estimated.request
+        target.onGranted(request, now)
+        rollouts.onGranted(request, target.target, now)
+        target.beginPrefill(estimated, now)
+        target.start(estimated)
+        quarantine.onGranted(request, target.target.id, now)
+        addRunning(request.ticket, RunningRequest(estimated, target.target.id, now))
+        return SlotDecision.Grant(request.ticket, target.target)
+    }
+
     /**
      * Returns a request behind the first one and a target for it, or `null`. The first request may
      * only be passed over if no target could serve it even with free capacity.
@@ -519,8 +687,27 @@
         val paceWait = service.paceWaitOrNull(request, now)
         val wait = paceWait ?: service.expectedWait(estimated, now)
         if (estimated.isInTimeAfter(wait, now)) return null
-        service.onShed(request.rank, now)
-        return refusal(request, reasonOf(paceWait), wait)
+        val isShared = service.sharesShortage
+        if (isShared && service.targets.chooseOrNull(estimated, now) != null) return null
+        return shed(service, estimated, paceWait, wait, now)
+    }
+
+    /** Returns the refusal of [estimated], which would wait too long for a slot. */
+    private fun shed(
+        service: ServiceState,
+        estimated: EstimatedRequest,
+        paceWait: Duration?,
+        wait: Duration,
+        now: Instant
+    ): SlotDecision {
+        service.onShed(estimated, now)
+        val request = estimated.request
+        val refusal = refusal(request, reasonOf(paceWait), wait)
+        val control = service.overload ?: return refusal
+        // The end of a rest and the turns of a stated rate are known better than those of slots.
+        val isStated = paceWait != null || service.targets.restWait(request, now) > Duration.ZERO
+        if (isStated) return refusal
+        return refusal.copy(retryAfter = control.returnTime(request, now))
     }
 
     /** Refuses the waiting requests that would get a slot too late at the current grant rate. */
@@ -533,6 +720,7 @@
         var staying = 0
         for (estimated in service.queue.inOrder(now).toList()) {
             val request = estimated.request
+            if (request.ticket in service.waits) continue
             val position = positions.merge(request.rank, 1, Int::plus) ?: 1
             val rest = service.targets.restWait(request, now)
             if (rest > Duration.ZERO) service.onRest(request.rank, now)
@@ -543,16 +731,34 @@
             positions[request.rank] = position - 1
             staying--
             dequeue(service, request.ticket, now)
-            service.onShed(request.rank, now)
-            decisions += refusal(request, reasonOf(paceWait), wait)
+            decisions += shed(service, estimated, paceWait, wait, now)
+        }
+    }
+
+    /** Refuses the late requests that other late ones leave no slot, see [OverloadControl]. */
+    private fun refuseHopeless(
+        service: ServiceState,
+        control: OverloadControl,
+        now: Instant,
+        decisions: MutableList<SlotDecision>
+    ) {
+        for ((estimated, wait) in service.hopeless(control, now)) {
+            dequeue(service, estimated.request.ticket, now)
+            decisions += shed(service, estimated, paceWait = null, wait, now)
         }
     }
 
     private fun reasonOf(paceWait: Duration?): SlotRefusal =
         if (paceWait == null) SlotRefusal.TooLate else SlotRefusal.RateLimited
 
-    private fun refusal(request: SlotRequest, reason: SlotRefusal, wait: Duration): SlotDecision =
-        SlotDecision.Refuse(request.ticket, reason, maxOf(wait, MIN_RETRY_AFTER))
+    private fun refusal(
+        request: SlotRequest,
+        reason: SlotRefusal,
+        wait: Duration
+    ): SlotDecision.Refuse {
+        counters.countRefusal(request.rank, reason)
+        return SlotDecision.Refuse(request.ticket, reason, maxOf(wait, MIN_RETRY_AFTER))
+    }
 
     private companion object {
         /** Time after which a request to a service without targets may be retried. */
--- a/core/src/main/kotlin/io/primroseflow/fleet/ServiceState.kt
+++ b/core/src/main/kotlin/io/primroseflow/fleet/ServiceState.kt
@@ -36,18 +36,37 @@
  * @param conditions what hosts report about targets
  * @param quarantine keeps requests apart that may end targets
  * @param pacing keeps targets within the rates that they have stated
+ * @param rollouts decides which versions of the service may get a request
+ * @param features optional parts of scheduling that are on
  */
 internal class ServiceState(
     conditions: ReportedConditions,
     quarantine: PartQuarantine,
-    pacing: TargetPacing
+    pacing: TargetPacing,
+    rollouts: RolloutGate,
+    features: SchedulingFeatures = SchedulingFeatures.NONE
 ) {
-    val targets = ServiceTargets(conditions, quarantine, pacing)
+    val targets =
+        ServiceTargets(conditions, quarantine, pacing, rollouts, features.weighsPlacement)
     val queue = SlotRequestQueue()
 
+    /** Order and refusals while [sharesShortage] is on, otherwise `null`. */
+    var overload: OverloadControl? = null
+        private set
+
+    /** Whether a shortage of slots is shared among ranks and teams. */
+    val sharesShortage: Boolean get() = overload != null
+
+    /** Requests that leave free slots to others. */
+    val waits = PlacementWaits(targets)
+    private val aside = ArrayList<EstimatedRequest>()
+
     /** Moving average of the ratio of actual to nominal time that requests hold a slot. */
     private var durationRatio = 1.0
 
+    /** The same ratio for nominal times by the learnt costs of the service. */
+    private var placedRatio = 1.0
+
     /** Moving average of the duration of a call of a plain service, in milliseconds. */
     private var plainMillis = INITIAL_PLAIN_MILLIS
 
@@ -65,15 +84,41 @@
 
     private fun grantRateOf(rank: Int, now: Instant) = grantRates.getOrPut(rank) { GrantRate(now) }
 
+    /** Returns whether the targets of the service state their pace. */
+    fun advertisesPace(now: Instant): Boolean = targets.advertisePace(now)
+
     /** Starts measuring the grant rate of [rank] when a request of it is queued. */
-    fun onWaiting(rank: Int, now: Instant) {
+    private fun onWaiting(rank: Int, now: Instant) {
         grantRateOf(rank, now)
     }
 
-    /** Records a grant to a request of [rank]. */
-    fun onGrant(rank: Int, now: Instant) {
-        grantRateOf(rank, now).onGrant(now)
+    /** Shares a shortage of slots by [control], which starts without counts, from [now] on. */
+    fun shareShortage(control: OverloadControl, now: Instant) {
+        overload = control
+        queue.all.forEach { control.add(it, now) }
+    }
+
+    /** Ends the sharing of a shortage. */
+    fun stopSharingShortage() {
+        overload = null
+    }
+
+    /** Queues [estimated]. */
+    fun add(estimated: EstimatedRequest, now: Instant) {
+        queue.add(estimated)
+        onWaiting(estimated.request.rank, now)
+        overload?.add(estimated, now)
+    }
+
+    /** Removes the request of [ticket] from the queue and returns it, or `null`. */
+    fun remove(ticket: SlotTicket): EstimatedRequest? =
+        queue.remove(ticket)?.also { overload?.remove(it) }
+
+    /** Records a grant to [estimated]. */
+    fun onGrant(estimated: EstimatedRequest, now: Instant) {
+        grantRateOf(estimated.request.rank, now).onGrant(now)
         overallGrantRate.onGrant(now)
+        overload?.onGrant(estimated, now)
     }
 
     /** Records that targets that rest hold up the requests of [rank]. */
@@ -81,18 +126,43 @@
         grantRates[rank]?.restartIfIdle(now)
     }
 
-    /** Records that a request of [rank] was refused for lack of slots. */
-    fun onShed(rank: Int, now: Instant) {
-        lastShedAt[rank] = now
+    /** Records that [estimated] was refused for lack of slots. */
+    fun onShed(estimated: EstimatedRequest, now: Instant) {
+        lastShedAt[estimated.request.rank] = now
+        overload?.onLost(estimated, now)
     }
 
     /** Returns the request that gets the next slot, or `null` if none waits. */
     fun nextOrNull(now: Instant): EstimatedRequest? {
+        overload?.nextOrNull(now)?.let { return it }
         lastShedAt.values.removeIf { now - it > SHED_PROTECTION }
         val lowestRank = lastShedAt.firstEntry()?.key ?: Int.MAX_VALUE
         return queue.nextOrNull(now, overallGrantRate.expectedTime(1, now), lowestRank)
     }
 
+    /**
+     * Sets [first] aside for this round of grants and returns `true` if it waits for a better target
+     * than [free].
+     */
+    fun trySetAside(first: EstimatedRequest, free: TargetState, now: Instant): Boolean {
+        if (!targets.weighsPlacement(now)) return false
+        val interval = overallGrantRate.expectedTime(1, now)
+        val isWaiting = waits.tryWait(first, free, queue.size, interval, now)
+        if (isWaiting) {
+            queue.setAside(first)
+            overload?.remove(first)
+            aside += first
+        }
+        return isWaiting
+    }
+
+    /** Ends a round of grants: the requests that were set aside wait again. */
+    fun endRound(now: Instant) {
+        queue.putBack()
+        aside.forEach { overload?.add(it, now) }
+        aside.clear()
+    }
+
     /**
      * Returns the request that gets a slot at [target] instead of [first], of the same rank, if
      * much more of its prompt is cached there and [first] can wait for a further slot.
@@ -101,17 +171,28 @@
         val spare = first.dueAt(now) - now - overallGrantRate.expectedTime(2, now)
         if (spare < REUSE_MARGIN) return first
         val least = target.cachedTokens(first.request) + MIN_REUSED_TOKENS
-        return queue.inOrder(now)
+        overload?.let { control ->
+            return bestCached(target, first, least, control.inTimeOf(first.request.rank), now)
+        }
+        val waiting = queue.inOrder(now)
             .takeWhile { it.request.rank <= first.request.rank }
             .filter { it.request.rank == first.request.rank }
-            .take(REUSE_DEPTH)
-            .filter {
-                target.cachedTokens(it.request) >= least &&
-                    target.canStart(it, targets.kvCapacity, now)
-            }
-            .maxByOrNull { target.cachedTokens(it.request) } ?: first
+        return bestCached(target, first, least, waiting, now)
     }
 
+    private fun bestCached(
+        target: TargetState,
+        first: EstimatedRequest,
+        least: Int,
+        waiting: Sequence<EstimatedRequest>,
+        now: Instant
+    ): EstimatedRequest = waiting.take(REUSE_DEPTH)
+        .filter {
+            target.cachedTokens(it.request) >= least &&
+                targets.canStart(target, it, now)
+        }
+        .maxByOrNull { target.cachedTokens(it.request) } ?: first
+
     /** Returns the expected wait for a slot at [position], from 1, in the queue of [rank]. */
     fun waitAtPosition(rank: Int, position: Int, now: Instant): Duration = when {
         position < MIN_QUEUE_FOR_RATE -> Duration.ZERO
@@ -119,17 +200,30 @@
     }
 
     /** Estimates the work of [request] from its hint or, without one, from earlier answers. */
-    fun estimate(request: SlotRequest): EstimatedRequest {
+    fun estimate(request: SlotRequest, now: Instant): EstimatedRequest {
         if (!request.isStream) return EstimatedRequest(request, 0, plainMillis)
         val expected = request.outputHint
             ?: outputTokensByRoute[request.route]?.toInt()
             ?: INITIAL_OUTPUT_TOKENS
         val output = minOf(expected, request.outputLimit)
+        if (targets.weighsPlacement(now)) {
+            val millis = learntMillis(request, output) * placedRatio
+            return EstimatedRequest(
+                request,
+                output,
+                millis,
+                promptMillis = targets.costs.prompt.millisPerUnit
+            )
+        }
         val millis = request.promptTokens * PREFILL_MILLIS_PER_TOKEN +
             output * DECODE_MILLIS_PER_TOKEN
         return EstimatedRequest(request, output, millis * durationRatio)
     }
 
+    private fun learntMillis(request: SlotRequest, outputTokens: Int): Double =
+        request.promptTokens * targets.costs.prompt.millisPerUnit +
+            outputTokens * targets.costs.output.millisPerUnit
+
     /**
      * Returns the expected wait of the new request [estimated] for a slot: the time to work off the
      * queue ahead of it, but no less than its rank's current grant rate implies, since requests of
@@ -138,14 +232,34 @@
      */
     fun expectedWait(estimated: EstimatedRequest, now: Instant): Duration {
         val request = estimated.request
-        val slots = targets.usableSlots(estimated.nominalMillis, now).coerceAtLeast(1.0)
+        val slots = usableSlots(estimated, now)
+        overload?.let {
+            return maxOf(it.expectedWait(estimated, slots, now), targets.restWait(request, now))
+        }
         val queueDrainTime = (queue.queuedMillisAtOrAbove(request.rank) / slots).milliseconds
-        val waiting = queue.countOf(request.rank)
+        val waiting = queue.countOf(request.rank) - waits.countOf(request.rank)
         val leastWait = maxOf(queueDrainTime, targets.restWait(request, now))
         if (waiting < MIN_QUEUE_FOR_RATE) return leastWait
         return maxOf(leastWait, grantRateOf(request.rank, now).expectedTime(waiting, now))
     }
 
+    private fun usableSlots(estimated: EstimatedRequest, now: Instant): Double =
+        targets.usableSlots(estimated.nominalMillis, now).coerceAtLeast(1.0)
+
+    /**
+     * Returns the late requests that are not expected to get a slot before their caller leaves, and
+     * those whose targets rest for longer, with the time until that slot.
+     */
+    fun hopeless(control: OverloadControl, now: Instant): List<Pair<EstimatedRequest, Duration>> {
+        val late = control.lateWaits({ usableSlots(it, now) }, now)
+            .filterNot { (estimated, wait) -> estimated.isInTimeAfter(wait, now) }
+        val resting = queue.all.asSequence().map { it to targets.restWait(it.request, now) }
+            .filterNot { (estimated, wait) ->
+                wait == Duration.ZERO || estimated.isInTimeAfter(wait, now)
+            }
+        return (resting + late).distinctBy { it.first }.toList()
+    }
+
     /**
      * Returns the wait of the new [request] if the rates of targets alone determine it, otherwise
      * `null`.
@@ -154,12 +268,21 @@
         targets.paceWaitOrNull(request, queue.countAtOrAbove(request.rank) + 1, now)
 
     /** Updates the averages with an answer of [target], or of a target no longer known. */
-    fun recordServed(target: TargetState?, request: SlotRequest, end: SlotEnd.Served) {
+    fun recordServed(
+        target: TargetState?,
+        estimated: EstimatedRequest,
+        end: SlotEnd.Served,
+        now: Instant
+    ) {
+        val request = estimated.request
+        target?.work?.learn(estimated, end, now)
         val actual = end.totalMillis.toDouble()
         val nominal = if (request.isStream) {
             outputTokensByRoute.merge(request.route, end.outputTokens.toDouble()) { old, new ->
                 old + MOVING_AVERAGE_WEIGHT * (new - old)
             }
+            val learnt = learntMillis(request, end.outputTokens).coerceAtLeast(1.0)
+            placedRatio += MOVING_AVERAGE_WEIGHT * (actual / learnt - placedRatio)
             request.promptTokens * PREFILL_MILLIS_PER_TOKEN +
                 end.outputTokens * DECODE_MILLIS_PER_TOKEN
         } else {
--- a/core/src/main/kotlin/io/primroseflow/fleet/TargetState.kt
+++ b/core/src/main/kotlin/io/primroseflow/fleet/TargetState.kt
@@ -53,7 +53,7 @@
 internal const val DECODE_MILLIS_PER_TOKEN = 3.2
 
 /** Slowdown of a target whose slots are all taken, as a fraction of its time when idle. */
-private const val FULL_LOAD_SLOWDOWN = 0.3
+internal const val FULL_LOAD_SLOWDOWN = 0.3
 
 /** Shortest time between two requests of hosts that return to a target after its rest. */
 internal val RETURN_INTERVAL: Duration = 25.milliseconds
@@ -71,13 +71,17 @@
  * @param conditions what hosts report about the target
  * @param quarantine keeps requests apart that may end targets
  * @param pacing keeps the target within the rate that it has stated
+ * @param rollouts decides which versions of the service may get a request
+ * @property work what was placed at the target, and how fast it works
  */
 internal class TargetState(
     target: FleetTarget,
     var slotLimit: Int,
     private val conditions: ReportedConditions,
     private val quarantine: PartQuarantine,
-    private val pacing: TargetPacing
+    private val pacing: TargetPacing,
+    private val rollouts: RolloutGate,
+    val work: TargetWork
 ) {
     var target: FleetTarget = target
         set(value) {
@@ -85,14 +89,23 @@
             field = value
         }
 
+    /** Longest pause between the events of its streams that is in time, `null` for no limit. */
+    var pauseLimit: PauseLimit? = null
+
     /** Number of slots in use. */
     var inFlight: Int = 0
         private set
 
+    /** Fraction of the slots that are in use. */
+    val load: Double get() = inFlight.toDouble() / slotLimit.coerceAtLeast(1)
+
     /** KV cache tokens that the requests in flight are expected to occupy. */
     var tokensInFlight: Long = 0
         private set
 
+    /** KV cache tokens that the requests in flight occupy if all answers have their full length. */
+    private var limitTokensInFlight = 0L
+
     /** Moving average of the ratio of actual to nominal answer time. */
     var slowness: Double = 1.0
         private set
@@ -130,15 +143,24 @@
      *
      * @param kvCapacity KV cache of the target in tokens, or `null` for no limit; an idle target
      * may start a request of any size
+     * @param isLimitCounted whether requests occupy their prompt and output limit, and a scheduler
+     * has its share of the KV cache, rather than the expected tokens and all of it
      */
-    fun canStart(estimated: EstimatedRequest, kvCapacity: Long?, now: Instant): Boolean {
+    fun canStart(
+        estimated: EstimatedRequest,
+        kvCapacity: Long?,
+        now: Instant,
+        isLimitCounted: Boolean = false
+    ): Boolean {
         val request = estimated.request
         if (!isEligible(request, now) || inFlight >= slotLimit) return false
         if (isProbing && inFlight > 0) return false
         if (isReturning(request, now) && now - lastReturnAt < RETURN_INTERVAL) return false
         if (pacing.timeUntilNext(target.id, now) > Duration.ZERO) return false
-        return kvCapacity == null || inFlight == 0 ||
-            tokensInFlight + estimated.kvTokens <= kvCapacity
+        if (kvCapacity == null || inFlight == 0) return true
+        if (!isLimitCounted) return tokensInFlight + estimated.kvTokens <= kvCapacity
+        val share = kvCapacity * slotLimit / target.slots.coerceAtLeast(1)
+        return limitTokensInFlight + estimated.limitTokens <= share
     }
 
     /** Returns `true` if the target may serve [request], now or once it has free capacity. */
@@ -146,7 +168,8 @@
         val unreachable = unreachableFrom[request.dataCentre]
         val isReachable = unreachable == null || now >= unreachable.until
         return isReachable && isUsable(now) && target.id !in request.excluded &&
-            restWait(request, now) == Duration.ZERO && quarantine.allows(request, target.id)
+            restWait(request, now) == Duration.ZERO && quarantine.allows(request, target.id) &&
+            rollouts.allows(request.route, target, now)
     }
 
     /** Returns the time until the target takes requests of the host of [request] again. */
@@ -171,7 +194,7 @@
      * the rate of the target fills.
      */
     fun usableSlots(millis: Double, now: Instant): Double {
-        if (!isUsable(now)) return 0.0
+        if (!isUsable(now) || !rollouts.hasCapacity(target, now)) return 0.0
         val slots = slotLimit.toDouble()
         return pacing.perSecondOrNull(target.id)?.let { minOf(slots, it * millis / 1_000) } ?: slots
     }
@@ -184,22 +207,25 @@
     fun start(estimated: EstimatedRequest) {
         inFlight++
         tokensInFlight += estimated.kvTokens
+        limitTokensInFlight += estimated.limitTokens
         estimated.request.parts.forEach { cachedParts[it.id] = Unit }
     }
 
     /** Adds the prefill of [estimated] to the prompts that the target has yet to prefill. */
     fun beginPrefill(estimated: EstimatedRequest, now: Instant) {
+        val uncached = uncachedTokens(estimated.request)
+        work.begin(estimated, uncached, now)
         if (!estimated.request.isStream) return
-        val time = (
-            uncachedTokens(estimated.request) * PREFILL_MILLIS_PER_TOKEN * slowness
-            ).milliseconds
+        val time = (uncached * PREFILL_MILLIS_PER_TOKEN * slowness).milliseconds
         prefillDoneAt = maxOf(prefillDoneAt, now) + time
     }
 
     /** Frees the slot of [estimated]. */
     fun release(estimated: EstimatedRequest) {
+        work.end(estimated)
         inFlight--
         tokensInFlight -= estimated.kvTokens
+        limitTokensInFlight -= estimated.limitTokens
         if (inFlight == 0) prefillDoneAt = Instant.DISTANT_PAST
     }
 
@@ -213,7 +239,6 @@
      * @param isRemote whether the request comes from another data centre
      */
     fun expectedMillis(estimated: EstimatedRequest, isRemote: Boolean, now: Instant): Double {
-        val load = inFlight.toDouble() / slotLimit.coerceAtLeast(1)
         val base = if (estimated.request.isStream) {
             // A prefill also delays the requests that are running beside it.
             uncachedTokens(estimated.request) * PREFILL_MILLIS_PER_TOKEN * (1 + inFlight) +
@@ -287,7 +312,7 @@
     fun cachedTokens(request: SlotRequest): Int = request.promptTokens - uncachedTokens(request)
 
     /** Returns the prompt tokens of [request] that follow its longest cached prefix. */
-    private fun uncachedTokens(request: SlotRequest): Int {
+    fun uncachedTokens(request: SlotRequest): Int {
         if (request.parts.isEmpty()) return request.promptTokens
         val cached = request.parts.takeWhile { it.id in cachedParts.keys }.sumOf { it.tokens }
         return (request.promptTokens - cached).coerceAtLeast(0)
--- a/daemon/src/main/kotlin/io/primroseflow/daemon/entry/EntryHost.kt
+++ b/daemon/src/main/kotlin/io/primroseflow/daemon/entry/EntryHost.kt
@@ -24,6 +24,7 @@
 import io.primroseflow.daemon.socket.EventLoop
 import io.primroseflow.daemon.target.TargetConnectionPool
 import io.primroseflow.daemon.target.TargetExchanger
+import io.primroseflow.fleet.HostPaces
 import io.primroseflow.fleet.HostRates
 import io.primroseflow.fleet.SchedulingFeatures
 import io.primroseflow.limits.RetryLimits
@@ -57,6 +58,21 @@
 /** Maximum size of all answers that are read as a whole and not forwarded yet, in bytes. */
 private const val MAX_TOTAL_ANSWER_BYTES = 24L * 1024 * 1024
 
+/**
+ * Time in which a target must read something of a request. Targets read at once when they take a
+ * request; a lost packet costs up to 1.5 s with three retransmissions.
+ */
+private val WRITE_TIMEOUT: Duration = 4.seconds
+
+/**
+ * Size of the send buffer of a connection to a target. The kernel reports that the target reads once
+ * a third of the buffer is free, and it grows a buffer without a fixed size to several megabytes.
+ */
+private const val TARGET_SEND_BUFFER_BYTES = 128 * 1024
+
+/** Time for the caller to read what came before its answer broke off. */
+private val BROKEN_DRAIN_TIMEOUT: Duration = 5.seconds
+
 private val STOP_POLL_INTERVAL: Duration = 50.milliseconds
 
 /**
@@ -109,7 +125,8 @@
     private val lease = PolicyLease(settings.leaseDuration, clock, wallClock)
     private val metrics = EntryMetrics()
     private val rates = HostRates()
-    private val conditions = HostTargetConditions(clock, log, metrics, rates) {
+    private val paces = HostPaces()
+    private val conditions = HostTargetConditions(clock, log, metrics, rates, paces) {
         slots.onConditionsChanged()
     }
     private val slots: SlotClient = SlotClient(
@@ -121,10 +138,15 @@
         rates,
         random,
         settings.features,
+        paces,
         conditions = { conditions.current }
     )
     private val policy = RoutedPolicyInForce(decoder, log, ::onPolicy)
-    private val pool = TargetConnectionPool(loop, clock)
+    private val pool = TargetConnectionPool(
+        loop,
+        clock,
+        if (settings.boundsSlowCallers) TARGET_SEND_BUFFER_BYTES else null
+    )
     private val links = PeerLinks(
         self = self,
         loop = loop,
@@ -151,11 +173,18 @@
         dataCentre = settings.dataCentre,
         dialect = dialect,
         slots = slots,
-        exchanger = TargetExchanger(pool, dialect, conditions),
+        exchanger = TargetExchanger(
+            pool,
+            dialect,
+            conditions,
+            writeTimeout = if (settings.boundsSlowCallers) WRITE_TIMEOUT else Duration.INFINITE
+        ),
         conditions = conditions,
         answers = ByteBudget(MAX_TOTAL_ANSWER_BYTES),
         log = log
     )
+    private val outputs =
+        if (settings.boundsSlowCallers) CallerOutputs(clock, log, metrics) else null
     private val callers = HttpListener(
         loop = loop,
         scope = scope,
@@ -205,6 +234,9 @@
             "shared_scheduler" to { if (link.isAttached) 1 else 0 },
             "policy_revision" to { policy.revision.number }
         )
+        if (settings.features.hedging != null) {
+            metrics.addGauges("hedged_routes" to { slots.hedgedRoutes })
+        }
         settings.metricsPort?.let {
             metricsListener(loop, scope, log, metrics.page).listen(settings.address, it)
         }
@@ -212,6 +244,14 @@
         every(TRIM_INTERVAL, "connections") {
             pool.closeStale(slots.targets.mapTo(HashSet()) { it.address })
         }
+        outputs?.let {
+            metrics.addGauges(
+                "caller_held_bytes" to { it.heldBytes },
+                "callers_slow" to { it.slowCount },
+                "callers_waiting_for_memory" to { it.waitingCount }
+            )
+            every(SWEEP_INTERVAL, "caller outputs") { it.sweep() }
+        }
         startDetachedTasks()
         log.info("host_started", "data_centre" to settings.dataCentre)
     }
@@ -271,7 +311,10 @@
 
     private fun handle(from: HostId, message: PeerMessage) {
         when (message) {
-            is PeerMessage.ReportReply -> link.onReply(from, message)
+            is PeerMessage.ReportReply -> {
+                link.onReply(from, message)
+                slots.onHedgeDelays(message)
+            }
 
             is PeerMessage.LeaderHint -> link.onHint(from, message)
 
@@ -287,7 +330,7 @@
 
             // While it is detached, this host reads the target directory itself.
             is PeerMessage.FleetNews -> if (link.isAttached || slots.targets.isEmpty()) {
-                slots.onTargets(message.version, message.targets)
+                slots.onTargets(message.version, message.targets, message.rollouts)
             }
 
             is PeerMessage.PolicyPush -> policy.offer(message.policy)
@@ -330,6 +373,9 @@
         connection: HttpConnection,
         closes: Boolean
     ): Boolean {
+        outputs?.let { outputs ->
+            connection.holdOutput { outputs.open(it, request.team?.id, request.traits.id) }
+        }
         val relay = RequestRelay(relayContext, request, connection, closes)
         var result: RelayResult? = null
         var hasCallerLeft = false
@@ -377,7 +423,11 @@
             metrics.recordEnd(request, relay, outcomeLabel(ended, hasCallerLeft), clock.now())
             logEnd(request, relay, ended, hasCallerLeft)
         }
-        if (hasCallerLeft || ended == null || ended is RelayResult.Broken) return false
+        if (hasCallerLeft || ended == null) return false
+        if (ended is RelayResult.Broken) {
+            withTimeoutOrNull(BROKEN_DRAIN_TIMEOUT) { connection.awaitSent() }
+            return false
+        }
         if (ended is RelayResult.Refused) {
             refuse(connection, ended.refusal, ended.retryAfter, request.traits.id, closes)
         }
@@ -449,6 +499,7 @@
             "route" to request.route.id,
             "team" to request.team?.id,
             "targets" to relay.targets,
+            "hedge" to relay.hedge.label.takeIf { settings.features.hedging != null },
             "tokens" to request.traits.promptTokens,
             "output_limit" to request.traits.outputLimit,
             "output_hint" to request.traits.outputHint,
--- a/daemon/src/main/kotlin/io/primroseflow/daemon/entry/SlotClient.kt
+++ b/daemon/src/main/kotlin/io/primroseflow/daemon/entry/SlotClient.kt
@@ -1,5 +1,6 @@
 package io.primroseflow.daemon.entry
 
+import io.primroseflow.control.Rollout
 import io.primroseflow.daemon.EventLog
 import io.primroseflow.daemon.fleet.HOST_TIMEOUT
 import io.primroseflow.daemon.fleet.logQuarantine
@@ -7,8 +8,10 @@
 import io.primroseflow.daemon.peer.PeerMessage
 import io.primroseflow.daemon.peer.QuarantineReport
 import io.primroseflow.daemon.peer.RateReport
+import io.primroseflow.daemon.peer.StatedPaceRecord
 import io.primroseflow.daemon.peer.digestOf
 import io.primroseflow.daemon.peer.firstNumberOfProcess
+import io.primroseflow.daemon.peer.toPaceRecords
 import io.primroseflow.daemon.peer.toRateRecords
 import io.primroseflow.daemon.peer.toRecord
 import io.primroseflow.daemon.peer.toRecords
@@ -18,6 +21,7 @@
 import io.primroseflow.fleet.FleetTarget
 import io.primroseflow.fleet.HeldSlot
 import io.primroseflow.fleet.HostHoldings
+import io.primroseflow.fleet.HostPaces
 import io.primroseflow.fleet.HostRates
 import io.primroseflow.fleet.PartQuarantine
 import io.primroseflow.fleet.QuotaTolerance
@@ -35,12 +39,14 @@
 import io.primroseflow.model.HostId
 import io.primroseflow.model.TargetId
 import io.primroseflow.model.TeamId
+import io.primroseflow.routing.RouteId
 import io.primroseflow.routing.RoutedPolicy
 import io.primroseflow.routing.ServiceId
 import kotlin.random.Random
 import kotlin.time.Clock
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
 import kotlin.time.Instant
 import kotlinx.coroutines.CompletableDeferred
 
@@ -50,6 +56,12 @@
  */
 private const val LOCAL_BURST_FRACTION = 0.25
 
+/**
+ * Age from which the hedging delays of the shared scheduler no longer count. They come once a second,
+ * every three seconds to a host without requests.
+ */
+private val HEDGE_DELAYS_RETENTION: Duration = 5.seconds
+
 /**
  * Acquires slots for the requests of this host: from the shared scheduler while the host is
  * attached to it, otherwise from a local scheduler that grants this host's share of the slots and
@@ -60,6 +72,7 @@
  * @param rates rates that targets have stated
  * @param random must differ from that of every former process of this host
  * @param features optional parts of scheduling that are on
+ * @param paces paces that targets have stated
  * @param conditions returns the conditions of the targets that are not in service
  */
 internal class SlotClient(
@@ -71,6 +84,7 @@
     private val rates: HostRates,
     random: Random,
     private val features: SchedulingFeatures = SchedulingFeatures.NONE,
+    private val paces: HostPaces = HostPaces(),
     private val conditions: () -> Map<TargetId, TargetCondition>
 ) {
     /** A request; the scheduler of [knownTerm] knows it, none if that is 0. */
@@ -101,6 +115,17 @@
     private var policy: RoutedPolicy? = null
     private var isRefusing = false
 
+    /** Delays that the shared scheduler has sent at [hedgeDelaysAt]. */
+    private var hedgeDelays: Map<RouteId, Long> = emptyMap()
+    private var hedgeDelaysAt = Instant.DISTANT_PAST
+
+    /** Times until which no hedges are asked for, so that an overload causes no more messages. */
+    private val hedgesPausedUntil = HashMap<ServiceId, Instant>()
+
+    /** Latest rollouts that the shared scheduler has told. */
+    private var rollouts: List<Rollout> = emptyList()
+    private val knownVersions = KnownVersions()
+
     /** Grants for a former process of this host must not meet the tickets of this one. */
     private var lastTicketNumber = random.firstNumberOfProcess()
 
@@ -118,6 +143,9 @@
     /** Number of prompt parts whose requests are held back, as far as this host knows. */
     val quarantinedCount: Int get() = quarantine.quarantined.size
 
+    /** Number of routes of which the shared scheduler has sent a hedging delay. */
+    val hedgedRoutes: Int get() = hedgeDelays.size
+
     /** Number of requests that wait for a slot. */
     val waitingCount: Int get() = waiting.size
 
@@ -136,8 +164,10 @@
         val scheduler = localScheduler
         if (scheduler == null) {
             entry.knownTerm = link.term
-            link.sendToScheduler(PeerMessage.Wish(link.term, request.toRecord(clock.now())))
+            val record = request.toRecord(clock.now())
+            link.sendToScheduler(PeerMessage.Wish(link.term, record, unreportedPaces()))
         } else {
+            scheduler.updatePaces(paces.takeUnreported(clock.now()), clock.now())
             deliver(scheduler.submit(request, clock.now()))
         }
         var isAnswered = false
@@ -150,6 +180,29 @@
         }
     }
 
+    /**
+     * Returns the time after which a first attempt of [route] counts as slow, so that it may be
+     * hedged; `null` if hedging is off or the scheduler does not know the time.
+     */
+    fun hedgeDelayOrNull(route: RouteId): Duration? {
+        if (features.hedging == null) return null
+        val now = clock.now()
+        localScheduler?.let { return it.hedgeDelayOrNull(route, now) }
+        if (now - hedgeDelaysAt > HEDGE_DELAYS_RETENTION) return null
+        return hedgeDelays[route]?.coerceAtLeast(1)?.milliseconds
+    }
+
+    /** Returns whether a hedge to [service] may be asked for, as none was refused just before. */
+    fun mayHedge(service: ServiceId): Boolean =
+        hedgesPausedUntil[service]?.let { clock.now() >= it } ?: true
+
+    /** Adopts the hedging delays in [reply], if it carries any. */
+    fun onHedgeDelays(reply: PeerMessage.ReportReply) {
+        if (reply.term != link.term) return
+        hedgeDelays = reply.hedgeDelays ?: return
+        hedgeDelaysAt = clock.now()
+    }
+
     /** Refuses all waiting and later requests, as this host stops and has no time to relay them. */
     fun refuseAll() {
         isRefusing = true
@@ -165,23 +218,40 @@
         val scheduler = localScheduler
         if (scheduler == null) {
             quarantine.onEnded(ticket, end, clock.now())
-            link.sendToScheduler(PeerMessage.SlotEnded(link.term, ticket.number, end))
+            val ended = PeerMessage.SlotEnded(link.term, ticket.number, end, unreportedPaces())
+            link.sendToScheduler(ended)
         } else {
+            scheduler.updatePaces(paces.takeUnreported(clock.now()), clock.now())
             deliver(scheduler.release(ticket, end, clock.now()))
         }
     }
 
+    private fun unreportedPaces(): List<StatedPaceRecord> {
+        val now = clock.now()
+        return paces.takeUnreported(now).toPaceRecords(now)
+    }
+
     /** Applies [policy] to the local scheduler, if one is in use or started later. */
     fun onPolicy(policy: RoutedPolicy) {
         this.policy = policy
         localScheduler?.updatePolicy(policy, clock.now())
     }
 
-    /** Replaces the list of targets. */
-    fun onTargets(version: Long, targets: List<FleetTarget>) {
+    /**
+     * Replaces the list of targets.
+     *
+     * @param version version of the list; 0 for a list that this host has read by itself
+     * @param rollouts latest rollouts of all services, `null` if the list does not tell them
+     */
+    fun onTargets(version: Long, targets: List<FleetTarget>, rollouts: List<Rollout>? = null) {
         fleetVersion = version
-        this.targets = targets
-        localScheduler?.let { deliver(it.updateTargets(targets, clock.now())) }
+        if (version > 0) knownVersions.learn(targets)
+        this.targets = if (version > 0) targets else knownVersions.usable(targets)
+        if (rollouts != null) this.rollouts = rollouts
+        localScheduler?.let {
+            deliver(it.updateRollouts(this.rollouts, clock.now()))
+            deliver(it.updateTargets(this.targets, clock.now()))
+        }
     }
 
     /** Passes the conditions and rates of targets, which have changed, on to the scheduler at once. */
@@ -224,6 +294,8 @@
      */
     fun onAttached() {
         localScheduler = null
+        paces.onSchedulerChanged()
+        hedgeDelays = emptyMap()
         quarantine.forgetQueued()
     }
 
@@ -266,7 +338,9 @@
         localScheduler = scheduler
         scheduler.updateConditions(self, conditions(), now)
         scheduler.updateRates(rates.current(now), now)
+        scheduler.updateRollouts(rollouts, now)
         scheduler.updateTargets(targets, now)
+        scheduler.updatePaces(paces.current(now), now)
         val slots = held.values.map { HeldSlot(it.request, it.target.id) }
         val holdings = HostHoldings(slots, waiting.values.map { it.request })
         deliver(scheduler.reconcile(self, holdings, now).decisions)
@@ -312,7 +386,9 @@
                 digest = digestOf(quarantine.quarantined),
                 evidence = if (hasNewEvidence) quarantine.records(now) else emptyList(),
                 common = if (hasNewEvidence) quarantine.commonParts else emptyList()
-            )
+            ),
+            // A report that goes to several hosts may reach none that schedules.
+            paces = if (isNew) emptyList() else unreportedPaces()
         )
     }
 
@@ -363,6 +439,8 @@
                 val team = entry.request.team
                 if (team != null) usage.record(team, entry.request.cost, clock.now())
                 quarantine.onGranted(entry.request, decision.target.id, clock.now())
+            } else if (decision is SlotDecision.Refuse && entry.request.isHedge) {
+                hedgesPausedUntil[entry.request.service] = clock.now() + decision.retryAfter
             }
             entry.answer.complete(decision)
         }
--- a/daemon/src/main/kotlin/io/primroseflow/daemon/fleet/SharedScheduler.kt
+++ b/daemon/src/main/kotlin/io/primroseflow/daemon/fleet/SharedScheduler.kt
@@ -1,7 +1,9 @@
 package io.primroseflow.daemon.fleet
 
 import io.primroseflow.control.AcceptedPolicy
+import io.primroseflow.control.ControlCommand
 import io.primroseflow.control.PolicyRevision
+import io.primroseflow.control.Rollout
 import io.primroseflow.daemon.EventLog
 import io.primroseflow.daemon.peer.PeerMessage
 import io.primroseflow.daemon.peer.QuarantineReport
@@ -11,6 +13,7 @@
 import io.primroseflow.daemon.peer.toHeldSlots
 import io.primroseflow.daemon.peer.toRateRecords
 import io.primroseflow.daemon.peer.toSlotRequest
+import io.primroseflow.daemon.peer.toStatedPaces
 import io.primroseflow.daemon.peer.toStatedRates
 import io.primroseflow.daemon.peer.toUsage
 import io.primroseflow.fleet.FleetScheduler
@@ -20,6 +23,8 @@
 import io.primroseflow.fleet.HostHoldings
 import io.primroseflow.fleet.PartQuarantine
 import io.primroseflow.fleet.QuotaTolerance
+import io.primroseflow.fleet.RolloutLimits
+import io.primroseflow.fleet.RolloutStatus
 import io.primroseflow.fleet.SchedulingFeatures
 import io.primroseflow.fleet.SlotDecision
 import io.primroseflow.fleet.SlotRefusal
@@ -29,6 +34,7 @@
 import io.primroseflow.model.DataCentreId
 import io.primroseflow.model.HostId
 import io.primroseflow.model.TargetId
+import io.primroseflow.routing.RouteId
 import io.primroseflow.routing.RoutedPolicy
 import kotlin.time.Clock
 import kotlin.time.Duration
@@ -45,6 +51,9 @@
 /** Time after its last report for which a host keeps its share of the slots and quotas. */
 private val HOST_RETENTION: Duration = 15.seconds
 
+/** One of so many replies to a host carries the hedging delays, about one a second. */
+private const val REPLIES_PER_DELAYS = 5
+
 /** Maximum age of a target list kept from an earlier term; targets may have left since. */
 private val TARGET_LIST_MAX_AGE: Duration = 1.seconds
 
@@ -71,6 +80,16 @@
      * @param onRead called with the revision that was read; not called if the read fails
      */
     fun confirmPolicy(onRead: (PolicyRevision) -> Unit)
+
+    /**
+     * Reads the latest rollouts with the confirmation of a quorum.
+     *
+     * @param onRead called with the rollouts; not called if the read fails
+     */
+    fun readRollouts(onRead: (List<Rollout>) -> Unit)
+
+    /** Proposes the [end] of a rollout, which may be lost. */
+    fun endRollout(end: ControlCommand.EndRollout)
 }
 
 /**
@@ -85,7 +104,8 @@
     private val tolerance: QuotaTolerance,
     private val retryLimits: RetryLimits,
     private val log: EventLog,
-    private val features: SchedulingFeatures = SchedulingFeatures.NONE
+    private val features: SchedulingFeatures = SchedulingFeatures.NONE,
+    private val rolloutLimits: RolloutLimits = RolloutLimits()
 ) {
     private class HostEntry(val heardAt: Instant, val report: PeerMessage.HostReport) {
         var isAttached = true
@@ -93,6 +113,7 @@
 
     private class PendingReport(val host: HostId, val number: Long)
 
+    private val shortageLog = ShortageLog(log)
     private var term = 0L
     private var scheduler: FleetScheduler? = null
     private var targetList = VersionedTargets(0, emptyList())
@@ -103,6 +124,11 @@
     /** Shares of the known hosts, or `null` after a change of the hosts. */
     private var shares: Map<HostId, FleetShare>? = null
     private var pendingReports = ArrayList<PendingReport>()
+    private val rollouts = RolloutTasks(group, clock, log)
+
+    /** What is known of the running rollouts, empty while this host is not the leader. */
+    val rolloutStatuses: List<RolloutStatus>
+        get() = scheduler?.rolloutStatuses(clock.now()).orEmpty()
 
     /** Gauges of the scheduler, or `null` while this host is not the leader. */
     val status: FleetStatus? get() = scheduler?.status()
@@ -133,17 +159,35 @@
         listedAt = clock.now()
         if (hadTargetList && targets == targetList.targets) return
         val changes = describeChanges(targetList.targets, targets)
-        targetList = VersionedTargets(
-            maxOf(targetList.version + 1, clock.now().toEpochMilliseconds()),
-            targets
-        )
+        targetList = VersionedTargets(nextListVersion(), targets)
         log.info("targets_changed", "version" to targetList.version, "changes" to changes)
         val active = scheduler ?: return
         deliver(active.updateTargets(targets, clock.now()))
-        val news = PeerMessage.FleetNews(targetList.version, targets)
-        hosts.forEach { (host, entry) -> if (entry.isAttached) group.send(host, news) }
+        publishTargets()
+    }
+
+    private fun publishTargets() {
+        hosts.forEach { (host, entry) -> if (entry.isAttached) group.send(host, fleetNews()) }
     }
 
+    private fun fleetNews() =
+        PeerMessage.FleetNews(targetList.version, targetList.targets, rollouts.latest)
+
+    /** Applies the latest [committed] rollouts and tells all attached hosts. */
+    fun onRollouts(committed: List<Rollout>) {
+        if (!rollouts.onCommitted(committed)) return
+        val active = scheduler ?: return
+        if (rollouts.isKnownIn(term)) {
+            deliver(active.updateRollouts(rollouts.latest, clock.now()))
+        }
+        if (!hasTargetList) return
+        // Hosts that miss the news report the earlier version and are told again.
+        targetList = targetList.copy(version = nextListVersion())
+        publishTargets()
+    }
+
+    private fun nextListVersion() = maxOf(targetList.version + 1, clock.now().toEpochMilliseconds())
+
     /**
      * Handles [message] from entry host [from]. While this host is not the leader, it answers
      * reports with a hint to the leader and ignores other messages.
@@ -160,11 +204,13 @@
 
             is PeerMessage.Wish ->
                 if (isAttached(from, message.term)) {
+                    active.updatePaces(message.paces.toStatedPaces(now), now)
                     deliver(active.submit(message.request.toSlotRequest(from, now), now))
                 }
 
             is PeerMessage.SlotEnded ->
                 if (isAttached(from, message.term)) {
+                    active.updatePaces(message.paces.toStatedPaces(now), now)
                     deliver(active.release(SlotTicket(from, message.ticket), message.end, now))
                 }
 
@@ -196,7 +242,13 @@
             deliver(active.detachHost(host, hosts.size, now))
         }
         removeSilentHosts(active, now)
+        rollouts.awaitKnown(term) { committed ->
+            onRollouts(committed)
+            scheduler?.let { deliver(it.updateRollouts(rollouts.latest, clock.now())) }
+        }
         deliver(active.tick(now))
+        rollouts.carryOut(term, active.rolloutStatuses(now))
+        shortageLog.update(active, now)
         publishQuarantine(active)
     }
 
@@ -285,11 +337,18 @@
                 revision,
                 replicas,
                 shareOf(report.host),
-                clock.now().toEpochMilliseconds()
+                clock.now().toEpochMilliseconds(),
+                hedgeDelaysFor(report)
             )
         )
     }
 
+    /** Returns the delays of all routes with a part of the replies only, since they change slowly. */
+    private fun hedgeDelaysFor(report: PendingReport): Map<RouteId, Long>? {
+        if (features.hedging == null || report.number % REPLIES_PER_DELAYS != 0L) return null
+        return scheduler?.hedgeDelays(clock.now())?.mapValues { it.value.inWholeMilliseconds }
+    }
+
     private fun removeSilentHosts(active: FleetScheduler, now: Instant) {
         val silent = hosts.filterValues { now - it.heardAt > HOST_RETENTION }.keys
         for (host in silent) {
@@ -322,10 +381,11 @@
             if (report.term == term) synchronizeQuarantine(active, from, it)
         }
         if (hasTargetList && report.fleet != targetList.version) {
-            group.send(from, PeerMessage.FleetNews(targetList.version, targetList.targets))
+            group.send(from, fleetNews())
         }
         active.updateConditions(from, report.conditions.toConditions(now), now)
         onRates(active, from, report)
+        active.updatePaces(report.paces.toStatedPaces(now), now)
         val holdings = HostHoldings(
             held = report.held.toHeldSlots(from, now),
             waiting = report.waiting.map { it.toSlotRequest(from, now) },
@@ -372,8 +432,10 @@
         val fresh = FleetScheduler(
             tolerance = tolerance,
             retryLimits = retryLimits,
-            features = features
+            features = features,
+            rolloutLimits = rolloutLimits
         )
+        fresh.awaitRollouts()
         policy.table?.let { fresh.updatePolicy(it.policy, now) }
         if (now - listedAt > TARGET_LIST_MAX_AGE) hasTargetList = false
         if (hasTargetList) fresh.updateTargets(targetList.targets, now)
@@ -399,6 +461,8 @@
             SlotRefusal.TooLate,
             SlotRefusal.NoRetryLeft,
             SlotRefusal.HostStopping,
+            SlotRefusal.NoHedgeLeft,
+            SlotRefusal.NoSpareSlot,
             SlotRefusal.NoTarget -> true
         }
         return if (isKnown) reason else SlotRefusal.TooLate
--- a/daemon/src/main/kotlin/io/primroseflow/daemon/peer/PeerMessages.kt
+++ b/daemon/src/main/kotlin/io/primroseflow/daemon/peer/PeerMessages.kt
@@ -7,6 +7,7 @@
 import io.primroseflow.control.ControlCommand
 import io.primroseflow.control.PolicyHead
 import io.primroseflow.control.PolicyRevision
+import io.primroseflow.control.Rollout
 import io.primroseflow.daemon.request.HeaderField
 import io.primroseflow.fleet.FleetShare
 import io.primroseflow.fleet.FleetTarget
@@ -20,6 +21,8 @@
 import io.primroseflow.model.RequestId
 import io.primroseflow.model.TeamId
 import io.primroseflow.request.Outcome
+import io.primroseflow.routing.RouteId
+import io.primroseflow.routing.ServiceId
 import io.primroseflow.timeline.HybridTime
 import kotlinx.serialization.SerialName
 import kotlinx.serialization.Serializable
@@ -59,6 +62,16 @@
     @SerialName("his")
     data object PolicyHistory : ControlQuery
 
+    /** Reads the latest rollout of [service]. */
+    @Serializable
+    @SerialName("rol")
+    data class RolloutOf(val service: ServiceId) : ControlQuery
+
+    /** Reads the latest rollouts of all services. */
+    @Serializable
+    @SerialName("rls")
+    data object Rollouts : ControlQuery
+
     /** Applies [change] to the membership of [host]. */
     @Serializable
     @SerialName("mem")
@@ -83,6 +96,11 @@
     @SerialName("his")
     data class HistoryRead(val heads: List<PolicyHead>) : ControlReply
 
+    /** The latest rollouts that were asked for; a service without one has none. */
+    @Serializable
+    @SerialName("rol")
+    data class RolloutsRead(val rollouts: List<Rollout>) : ControlReply
+
     /** The membership change was committed. */
     @Serializable
     @SerialName("mem")
@@ -230,6 +248,7 @@
      *   that does not know the quarantine
      * @property rates what the host knows of the rates that targets have stated; `null` from a host
      *   that does not know rates
+     * @property paces paces of targets that have changed or were not reported lately
      */
     @Serializable
     @SerialName("rpt")
@@ -246,7 +265,8 @@
         @SerialName("u") val used: Map<TeamId, List<Long>>,
         @SerialName("e") val conditions: List<TargetConditionRecord> = emptyList(),
         @SerialName("q") val quarantine: QuarantineReport? = null,
-        @SerialName("l") val rates: RateReport? = null
+        @SerialName("l") val rates: RateReport? = null,
+        @SerialName("v") val paces: List<StatedPaceRecord> = emptyList()
     ) : Scheduling
 
     /**
@@ -256,6 +276,8 @@
      * @property share share of the fleet that the receiver schedules when it cannot reach the
      *   shared scheduler
      * @property atMillis time of the sender's clock in milliseconds, 0 if not sent
+     * @property hedgeDelays time in milliseconds for each route after which a first attempt counts as
+     *   slow; `null` if hedging is off or the former ones stay valid
      */
     @Serializable
     @SerialName("rpy")
@@ -265,7 +287,8 @@
         @SerialName("p") val policy: PolicyRevision,
         @SerialName("c") val replicas: List<HostId>,
         @SerialName("k") val share: FleetShare,
-        @SerialName("a") val atMillis: Long = 0
+        @SerialName("a") val atMillis: Long = 0,
+        @SerialName("h") val hedgeDelays: Map<RouteId, Long>? = null
     ) : Scheduling
 
     /** The scheduler does not know the requests with [tickets], which a report named as known. */
@@ -289,21 +312,31 @@
         @SerialName("c") val replicas: List<HostId>
     ) : Scheduling
 
-    /** Requests a slot. */
+    /**
+     * Requests a slot.
+     *
+     * @property paces paces of targets that have changed or were not reported lately
+     */
     @Serializable
     @SerialName("wsh")
     data class Wish(
         @SerialName("t") val term: Long,
-        @SerialName("w") val request: SlotRequestRecord
+        @SerialName("w") val request: SlotRequestRecord,
+        @SerialName("v") val paces: List<StatedPaceRecord> = emptyList()
     ) : Scheduling
 
-    /** The request with [ticket] has released its slot. */
+    /**
+     * The request with [ticket] has released its slot.
+     *
+     * @property paces paces of targets that have changed or were not reported lately
+     */
     @Serializable
     @SerialName("fin")
     data class SlotEnded(
         @SerialName("t") val term: Long,
         @SerialName("n") val ticket: Long,
-        @SerialName("e") val end: SlotEnd
+        @SerialName("e") val end: SlotEnd,
+        @SerialName("v") val paces: List<StatedPaceRecord> = emptyList()
     ) : Scheduling
 
     /** The request with [ticket] no longer waits for a slot. */
@@ -347,12 +380,18 @@
         @SerialName("r") val rates: List<StatedRateRecord>
     ) : Scheduling
 
-    /** The target list with [version]. */
+    /**
+     * The target list with [version].
+     *
+     * @property rollouts the latest rollout of each service, of which a host on its own uses the
+     *   versions accordingly
+     */
     @Serializable
     @SerialName("flt")
     data class FleetNews(
         @SerialName("v") val version: Long,
-        @SerialName("t") val targets: List<FleetTarget>
+        @SerialName("t") val targets: List<FleetTarget>,
+        @SerialName("o") val rollouts: List<Rollout> = emptyList()
     ) : Scheduling
 
     /** The sender runs a control replica and asks to join the control group. */
--- a/daemon/src/main/kotlin/io/primroseflow/daemon/target/TargetExchanges.kt
+++ b/daemon/src/main/kotlin/io/primroseflow/daemon/target/TargetExchanges.kt
@@ -10,15 +10,19 @@
 import java.io.IOException
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+import kotlin.time.TimeMark
 import kotlin.time.TimeSource
 import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.CoroutineStart
 import kotlinx.coroutines.async
+import kotlinx.coroutines.awaitCancellation
 import kotlinx.coroutines.cancelAndJoin
 import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
+import kotlinx.coroutines.withTimeoutOrNull
 import kotlinx.io.Buffer
 import kotlinx.io.readByteArray
 
@@ -33,6 +37,12 @@
 /** Interval at which it is checked whether a silent target has gone on. */
 private val PROGRESS_POLL_INTERVAL: Duration = 20.milliseconds
 
+/**
+ * Time in which a request that is still being written may turn out to have failed, after its answer
+ * has ended with the input. A reset arrives within one round trip of the next bytes.
+ */
+private val RESET_TIMEOUT: Duration = 1.seconds
+
 private const val HTTP_MISDIRECTED_REQUEST = 421
 
 private val successStatuses = 200..299
@@ -166,12 +176,18 @@
     fun onReplacementUnused()
 }
 
-/** Runs exchanges with targets over pooled connections. */
+/**
+ * Runs exchanges with targets over pooled connections.
+ *
+ * @param writeTimeout time in which a target must read something of a request that it has not begun
+ *   to answer
+ */
 internal class TargetExchanger(
     private val pool: TargetConnectionPool,
     private val dialect: Dialect,
     private val conditions: TargetConditionMonitor,
-    private val time: TimeSource = TimeSource.Monotonic
+    private val time: TimeSource = TimeSource.Monotonic,
+    private val writeTimeout: Duration = Duration.INFINITE
 ) {
     /** Sends [dispatch] once and reads its answer; connection failures are part of the result. */
     suspend fun run(dispatch: Dispatch, listener: ExchangeListener): ExchangeResult {
@@ -219,9 +235,14 @@
             private set
         var idleLimit: Duration? = null
             private set
-        private val isWritten = CompletableDeferred<Unit>()
+
+        /** Completed with whether the request was written in full. */
+        private val isWritten = CompletableDeferred<Boolean>()
         private val startedAt = time.markNow()
 
+        /** Time at which the socket took over a part of the request last. */
+        private var writtenAt = startedAt
+
         /** Time without progress from which the target counts as silent. */
         private var silenceLimit = dispatch.firstTimeout
         private var quietSince = startedAt
@@ -235,22 +256,42 @@
             // A target may answer before it has read the whole body, so both run concurrently.
             val writer = launch(start = CoroutineStart.UNDISPATCHED) { write() }
             val reader = async(start = CoroutineStart.UNDISPATCHED) { readAnswer() }
-            var silence: Duration? = null
+            var failure: String? = null
             val watchdog = launch {
-                silence = awaitSilence()
+                failure = "silent for ${awaitSilence()}"
                 reader.cancel()
             }
+            val writeWatchdog = if (writeTimeout.isInfinite() || isWritten.isCompleted) {
+                null
+            } else {
+                launch {
+                    awaitUnread()
+                    failure = "read nothing of the request for $writeTimeout"
+                    reader.cancel()
+                }
+            }
             try {
                 reader.await()
             } catch (e: CancellationException) {
-                ExchangeResult.Failed("silent for ${silence ?: throw e}")
+                ExchangeResult.Failed(failure ?: throw e)
             } finally {
-                isReusable = isReusable && isWritten.isCompleted
+                isReusable = isReusable && isWritten.isCompleted && isWritten.await()
                 writer.cancel()
                 watchdog.cancel()
+                writeWatchdog?.cancel()
             }
         }
 
+        /** Waits until the target has read nothing of an unanswered request for too long. */
+        private suspend fun awaitUnread() {
+            while (!isWritten.isCompleted && progress == 0) {
+                val left = writeTimeout - writtenAt.elapsedNow()
+                if (left <= Duration.ZERO) return
+                delay(left)
+            }
+            awaitCancellation()
+        }
+
         /** Returns how long the target has been silent once the exchange is to be given up. */
         private suspend fun awaitSilence(): Duration {
             while (true) {
@@ -294,11 +335,29 @@
 
         private suspend fun write() {
             try {
-                connection.write(dispatch.method, dispatch.path, dispatch.fields, dispatch.body)
-                isWritten.complete(Unit)
+                connection.write(dispatch.method, dispatch.path, dispatch.fields, dispatch.body) {
+                    writtenAt = time.markNow()
+                }
+                isWritten.complete(true)
             } catch (_: IOException) {
                 // The reader gets the failure too, after what the target sent before it.
+                isWritten.complete(false)
+            }
+        }
+
+        /**
+         * Checks that an answer that ended with the input was not cut off. A target that breaks off
+         * may end its output before the reset, which only the rest of the request meets.
+         */
+        private suspend fun checkOrderlyEnd(framing: BodyFraming) {
+            if (framing != BodyFraming.UntilClose) return
+            var before: TimeMark? = null
+            while (!isWritten.isCompleted && writtenAt != before) {
+                before = writtenAt
+                withTimeoutOrNull(RESET_TIMEOUT) { isWritten.join() }
             }
+            val isIntact = !isWritten.isCompleted || isWritten.await()
+            if (!isIntact) throw IOException("connection was reset while the request was written")
         }
 
         private suspend fun readAnswer(): ExchangeResult {
@@ -363,6 +422,7 @@
             traits: AnswerTraits
         ): ExchangeResult {
             val body = readBytes(framing)
+            checkOrderlyEnd(framing)
             isReusable = framing != BodyFraming.UntilClose && head.keepsConnection
             val isReplaced = head.status == HTTP_MISDIRECTED_REQUEST
             if (traits.isNotRun || isReplaced) {
@@ -403,6 +463,7 @@
             if (splitter.hasPartialEvent) {
                 return ExchangeResult.Failed("stream ended within an event", isBroken = true)
             }
+            checkOrderlyEnd(framing)
             // Nothing but the end of the connection says that this stream is complete.
             if (framing == BodyFraming.UntilClose && splitter.eventCount == 0) {
                 val cause = "connection ended before the first event"
--- a/daemon/src/test/kotlin/io/primroseflow/daemon/entry/RoutedFixture.kt
+++ b/daemon/src/test/kotlin/io/primroseflow/daemon/entry/RoutedFixture.kt
@@ -22,6 +22,7 @@
 import io.primroseflow.fleet.PromptPart
 import io.primroseflow.fleet.QuotaTolerance
 import io.primroseflow.fleet.RateNotice
+import io.primroseflow.fleet.SchedulingFeatures
 import io.primroseflow.fleet.TargetNotice
 import io.primroseflow.limits.RetryLimits
 import io.primroseflow.model.DataCentreId
@@ -144,7 +145,10 @@
     lease: Duration = 5.seconds,
     grace: Duration = 6.seconds,
     changes: Map<String, PolicyChange> = emptyMap(),
-    dialect: Dialect = TestDialect
+    dialect: Dialect = TestDialect,
+    boundsSlowCallers: Boolean = false,
+    features: SchedulingFeatures = SchedulingFeatures.NONE,
+    versions: List<String> = emptyList()
 ) : AutoCloseable {
     private val decoder = decoderOf(changes)
     private val folder = Files.createTempDirectory("control")
@@ -166,7 +170,8 @@
                     target.address,
                     DataCentreId("d"),
                     slots = 4,
-                    isLeaving = false
+                    isLeaving = false,
+                    version = versions.getOrNull(index)
                 )
             }
         )
@@ -180,7 +185,8 @@
             isFirstStart = true,
             voters = 1,
             quotaTolerance = tolerance,
-            retryLimits = RetryLimits(allowance = 100)
+            retryLimits = RetryLimits(allowance = 100),
+            features = features
         ),
         loop,
         { DiskFolder(folder) },
@@ -201,7 +207,9 @@
         grace = grace,
         retryLimits = RetryLimits(allowance = 100),
         quotaWindow = tolerance.window,
-        metricsPort = ports.next()
+        metricsPort = ports.next(),
+        boundsSlowCallers = boundsSlowCallers,
+        features = features
     )
     private val entry = EntryHost(
         settings,
@@ -233,6 +241,11 @@
 
     fun read() = runBlocking(worker) { control.read() }
 
+    fun startRollout(version: String, duration: Duration) =
+        runBlocking(worker) { control.startRollout(ServiceId("s"), version, duration) }
+
+    fun readRollout() = runBlocking(worker) { control.readRollout(ServiceId("s")) }
+
     fun beginStop() = scope.launch { entry.stop() }
 
     fun readiness(): Int = status("/ready", settings.readyPort)
@@ -281,9 +294,18 @@
     grace: Duration = 6.seconds,
     changes: Map<String, PolicyChange> = emptyMap(),
     dialect: Dialect = TestDialect,
+    boundsSlowCallers: Boolean = false,
+    features: SchedulingFeatures = SchedulingFeatures.NONE,
     block: RoutedFixture.() -> Unit
 ) {
-    RoutedFixture(*targets, grace = grace, changes = changes, dialect = dialect).use {
+    RoutedFixture(
+        *targets,
+        grace = grace,
+        changes = changes,
+        dialect = dialect,
+        boundsSlowCallers = boundsSlowCallers,
+        features = features
+    ).use {
         it.startControl()
         it.block()
     }
