Learn how long answers take to begin, for who can still be in time

Cause: a request counted as in time as long as the goal left time for its own prefill at a target of mean speed.

Change: under weighed placement the expected time is a learnt multiple of the prefill, within which two thirds of the answers begin.

Ruled out on the way: places for returns up to a third of the time until the deadline instead of until the caller leaves; OverloadTest failed (2 of its cases), as fewer of the places were used.

Result: StartTimesTest and the specs of overload, placement, quotas and FleetScheduler pass.

--- a/core/src/main/kotlin/io/primroseflow/fleet/EstimatedRequest.kt
+++ b/core/src/main/kotlin/io/primroseflow/fleet/EstimatedRequest.kt
@@ -14,20 +14,22 @@
  * @property nominalMillis expected time in a slot of a target of mean speed, in milliseconds
  * @property hasPlace whether its caller was told to return now, see [ReturnPlaces]
  * @param promptMillis time of a target of mean speed for a prompt token, in milliseconds
+ * @param startRatio time until an answer begins as a multiple of that of its own prefill
  */
 internal class EstimatedRequest(
     val request: SlotRequest,
     val outputTokens: Int,
     val nominalMillis: Double,
     val hasPlace: Boolean = false,
-    private val promptMillis: Double = PREFILL_MILLIS_PER_TOKEN
+    private val promptMillis: Double = PREFILL_MILLIS_PER_TOKEN,
+    private val startRatio: Double = 1.0
 ) {
     /** What was expected when the request was placed at a target, `null` before that. */
     var placed: PlacedRequest? = null
 
     private val startDuration: Duration = (
         if (request.isStream) {
-            START_OVERHEAD_MILLIS + request.promptTokens * promptMillis
+            startRatio * (START_OVERHEAD_MILLIS + request.promptTokens * promptMillis)
         } else {
             nominalMillis
         }
@@ -59,8 +61,14 @@
         if (request.isRetry) latestUse else minOf(latestStartForGoal, latestUse)
 
     /** Returns the same request with a place. */
-    fun withPlace() =
-        EstimatedRequest(request, outputTokens, nominalMillis, hasPlace = true, promptMillis)
+    fun withPlace() = EstimatedRequest(
+        request,
+        outputTokens,
+        nominalMillis,
+        hasPlace = true,
+        promptMillis,
+        startRatio
+    )
 
     /** Returns the latest time of a grant for the goal or, if that has passed, for any use. */
     fun dueAt(now: Instant): Instant =
--- a/core/src/main/kotlin/io/primroseflow/fleet/ServiceState.kt
+++ b/core/src/main/kotlin/io/primroseflow/fleet/ServiceState.kt
@@ -60,6 +60,7 @@
     /** Requests that leave free slots to others. */
     val waits = PlacementWaits(targets)
     private val aside = ArrayList<EstimatedRequest>()
+    private val startTimes = StartTimes()
 
     /** Moving average of the ratio of actual to nominal time that requests hold a slot. */
     private var durationRatio = 1.0
@@ -212,7 +213,8 @@
                 request,
                 output,
                 millis,
-                promptMillis = targets.costs.prompt.millisPerUnit
+                promptMillis = targets.costs.prompt.millisPerUnit,
+                startRatio = startTimes.ratio
             )
         }
         val millis = request.promptTokens * PREFILL_MILLIS_PER_TOKEN +
@@ -220,6 +222,9 @@
         return EstimatedRequest(request, output, millis * durationRatio)
     }
 
+    private fun prefillMillis(request: SlotRequest): Double =
+        START_OVERHEAD_MILLIS + request.promptTokens * targets.costs.prompt.millisPerUnit
+
     private fun learntMillis(request: SlotRequest, outputTokens: Int): Double =
         request.promptTokens * targets.costs.prompt.millisPerUnit +
             outputTokens * targets.costs.output.millisPerUnit
@@ -283,6 +288,7 @@
             }
             val learnt = learntMillis(request, end.outputTokens).coerceAtLeast(1.0)
             placedRatio += MOVING_AVERAGE_WEIGHT * (actual / learnt - placedRatio)
+            startTimes.record(end.firstMillis.toDouble(), prefillMillis(request))
             request.promptTokens * PREFILL_MILLIS_PER_TOKEN +
                 end.outputTokens * DECODE_MILLIS_PER_TOKEN
         } else {
