Pass the overlap of two attempts at one stream to the hedge race

Cause: "is answered by the hedge if the first attempt then is lost" failed once at load 13 to 21: the threads of its fake targets were held up for longer than the 350 ms after which the hedge is cancelled.

--- a/daemon/src/main/kotlin/io/primroseflow/daemon/entry/EntryHost.kt
+++ b/daemon/src/main/kotlin/io/primroseflow/daemon/entry/EntryHost.kt
@@ -89,6 +89,7 @@
  * @property quotaWindow length of the sliding window in which quotas limit the usage
  * @property metricsPort port at which metrics are served, `null` for none
  * @property features optional parts of scheduling that are on
+ * @property streamOverlap time for which two targets may work on one stream
  * @property boundsSlowCallers whether a host holds a bounded part of the answers that its callers do
  *   not read, instead of reading no more from the targets
  */
@@ -105,7 +106,8 @@
     val quotaWindow: Duration,
     val metricsPort: Int? = null,
     val features: SchedulingFeatures = SchedulingFeatures.NONE,
-    val boundsSlowCallers: Boolean = false
+    val boundsSlowCallers: Boolean = false,
+    val streamOverlap: Duration = STREAM_OVERLAP_LIMIT
 )
 
 /** Accepts requests of callers, relays them to targets and keeps its policy up to date. */
@@ -181,7 +183,8 @@
         ),
         conditions = conditions,
         answers = ByteBudget(MAX_TOTAL_ANSWER_BYTES),
-        log = log
+        log = log,
+        streamOverlap = settings.streamOverlap
     )
     private val outputs =
         if (settings.boundsSlowCallers) CallerOutputs(clock, log, metrics) else null
--- a/daemon/src/main/kotlin/io/primroseflow/daemon/entry/HedgeRace.kt
+++ b/daemon/src/main/kotlin/io/primroseflow/daemon/entry/HedgeRace.kt
@@ -22,7 +22,7 @@
 import kotlinx.coroutines.withTimeoutOrNull
 
 /** Time for which two engines may work on one stream; the rules allow 400 ms. */
-private val STREAM_OVERLAP_LIMIT: Duration = 350.milliseconds
+internal val STREAM_OVERLAP_LIMIT: Duration = 350.milliseconds
 
 /**
  * Time within which a hedge is granted or refused. Hedges are decided at once, so a later decision is
@@ -68,8 +68,14 @@
  * it. The first of them to answer is forwarded, and the other one is cancelled at once.
  *
  * It is not thread-safe: both attempts run on the same event loop.
+ *
+ * @param streamOverlap time for which two targets may work on one stream
  */
-internal class HedgeRace(private val request: HedgeableRequest, private val slowAfter: Duration) {
+internal class HedgeRace(
+    private val request: HedgeableRequest,
+    private val slowAfter: Duration,
+    private val streamOverlap: Duration = STREAM_OVERLAP_LIMIT
+) {
     /** One of the two attempts. */
     inner class Attempt {
         lateinit var exchange: Deferred<ExchangeResult?>
@@ -178,7 +184,7 @@
     /** Cancels [added] if [first] has not ended within the time for which both may be at work. */
     private suspend fun limitOverlap(first: Attempt, added: Attempt) {
         added.written.await()
-        delay(STREAM_OVERLAP_LIMIT)
+        delay(streamOverlap)
         if (!winner.isCompleted && first.exchange.isActive) added.drop()
     }
 
--- a/daemon/src/main/kotlin/io/primroseflow/daemon/entry/RelayModel.kt
+++ b/daemon/src/main/kotlin/io/primroseflow/daemon/entry/RelayModel.kt
@@ -25,6 +25,7 @@
  * The components of a host that all its relays use.
  *
  * @property answers memory for answers that are read as a whole before they are forwarded
+ * @property streamOverlap time for which two targets may work on one stream
  */
 internal class RelayContext(
     val clock: Clock,
@@ -34,7 +35,8 @@
     val exchanger: TargetExchanger,
     val conditions: TargetConditionMonitor,
     val answers: ByteBudget,
-    val log: EventLog
+    val log: EventLog,
+    val streamOverlap: Duration = STREAM_OVERLAP_LIMIT
 )
 
 /**
