--- /dev/null
+++ b/review/standin-2/LostDisks.java
@@ -0,0 +1,162 @@
+import java.io.IOException;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+
+/**
+ * A control host is replaced by one at another address. Later two hosts lose their disks, one long
+ * after the other. All hosts have the seeds of the first start; one of these is the replaced host.
+ */
+final class LostDisks {
+    private static final int METRICS_PORT = 9464;
+
+    /** Time for a host that is back to count as running, with a margin. */
+    private static final long CATCH_UP_MS = 4_000 + 1_000;
+
+    /** Time between the return of the first host with an empty disk and the second loss. */
+    private static final long BETWEEN_MS = 12_000;
+
+    private static final long AWAY_MS = 1_000;
+
+    /** Restarts of the leader after which the case gives up; each new leader is drawn by lot. */
+    private static final int MAX_RESTARTS = 7;
+
+    private final Lab2 lab;
+    private final List<Lab2.Host> controls = new ArrayList<>();
+    private final List<Lab2.Host> entries = new ArrayList<>();
+
+    private LostDisks(Lab2 lab) {
+        this.lab = lab;
+    }
+
+    public static void main(String[] args) throws Exception {
+        boolean hasTrouble = !"0".equals(System.getenv("TROUBLE"));
+        int status = 2;
+        try (Lab2 lab = new Lab2(Path.of(args[0], "record.txt"))) {
+            status = new LostDisks(lab).run(hasTrouble);
+        } catch (IOException e) {
+            System.err.println("the case could not run: " + e);
+        }
+        System.exit(status);
+    }
+
+    private int run(boolean hasTrouble) throws Exception {
+        List<String> replicas = List.of(lab.ip(31), lab.ip(32));
+        lab.serveList(replicas);
+        for (String ip : replicas) Lab2.listen(ip, lab.targetPort, s -> Replica2.serve(lab, s, ip));
+        List<String> seeds = List.of(lab.ip(11), lab.ip(12), lab.ip(13));
+        for (int i = 0; i < 3; i++) {
+            String zone = "abc".substring(i, i + 1);
+            controls.add(lab.new Host("control-" + zone, "control", seeds.get(i), zone, seeds));
+        }
+        for (int i = 0; i < 2; i++) {
+            String zone = "abc".substring(i, i + 1);
+            entries.add(lab.new Host("entry-" + zone, "entry", lab.ip(21 + i), zone, seeds));
+        }
+        for (Lab2.Host host : controls) host.start(true);
+        for (Lab2.Host host : entries) host.start(true);
+        String configuration = Lab2.configuration(7, Lab2.route("/check/", "idempotent", 2));
+        if (!lab.putUntil(controls, configuration, lab.now() + 20_000)) return 2;
+        Lab2.sleep(CATCH_UP_MS);
+        if (served("before") < 10) return 2;
+        if (hasTrouble && !disturb(seeds)) return 2;
+        // From here on all machines run and nothing disturbs them.
+        long back = lab.now();
+        Lab2.sleep(Lab2.RECOVERY_MS + Lab2.ACK_MS);
+        boolean isRead = read(back);
+        int served = served("after");
+        for (Lab2.Host host : controls) {
+            lab.note(host.name + (host.process.isAlive() ? " runs" : " has ended") + ", voters "
+                + metric(host, "primroseflow_control_voters"));
+        }
+        if (isRead && served >= 5) return 0;
+        lab.note("BROKEN: " + (isRead ? "" : "the acknowledged configuration does not come, ")
+            + served + " of 20 requests are served, " + (lab.now() - back) / 1000
+            + " s after all machines are back");
+        return 1;
+    }
+
+    /** Replaces the third host by a fourth, and lets two of the others lose their disks. */
+    private boolean disturb(List<String> seeds) throws Exception {
+        Lab2.Host removed = controls.remove(2);
+        removed.kill();
+        removed.eraseDisk();
+        lab.note(removed.name + " is gone for good");
+        Lab2.sleep(AWAY_MS);
+        Lab2.Host added = lab.new Host("control-d", "control", lab.ip(14), "c", seeds);
+        added.start(false);
+        controls.add(added);
+        Lab2.sleep(CATCH_UP_MS + 3_000);
+        for (int i = 0; !isLeader(added); i++) {
+            if (i == MAX_RESTARTS) {
+                lab.note(added.name + " was never elected");
+                return false;
+            }
+            for (Lab2.Host host : controls.subList(0, 2)) {
+                if (!isLeader(host)) continue;
+                host.kill();
+                lab.note(host.name + " leads and is killed");
+                Lab2.sleep(500);
+                host.start(false);
+                break;
+            }
+            Lab2.sleep(CATCH_UP_MS);
+        }
+        lab.note(added.name + " leads");
+        loseDisk(controls.get(0));
+        Lab2.sleep(BETWEEN_MS);
+        lab.note("configuration still read: " + read(lab.now()) + ", served " + served("between"));
+        loseDisk(controls.get(1));
+        return true;
+    }
+
+    private void loseDisk(Lab2.Host host) throws Exception {
+        host.kill();
+        host.eraseDisk();
+        lab.note(host.name + " loses its disk");
+        Lab2.sleep(AWAY_MS);
+        host.start(false);
+    }
+
+    private boolean isLeader(Lab2.Host host) {
+        return "1.0".equals(metric(host, "primroseflow_control_leader"));
+    }
+
+    private String metric(Lab2.Host host, String name) {
+        Lab2.Answer answer = Lab2.call(host.ip, METRICS_PORT, "GET", "/metrics",
+            Map.of("Host", host.ip), new byte[0], 1_000);
+        for (String line : answer.text().split("\n")) {
+            if (line.startsWith(name + " ")) return line.substring(name.length() + 1).trim();
+        }
+        return "unknown";
+    }
+
+    /** Reads the configuration at all hosts in turn, as at the end of a day. */
+    private boolean read(long since) {
+        for (int i = 0; i < 9; i++) {
+            Lab2.Host host = controls.get(i % controls.size());
+            Lab2.Answer answer = Lab2.call(host.ip, lab.controlPort, "GET", "/-/config",
+                Map.of("Host", host.ip), new byte[0], 1_000);
+            lab.note("read at " + host.name + ": status " + answer.status() + " " + answer.cause());
+            if (answer.status() == 200 && answer.text().startsWith("{\"version\":7,")) return true;
+            Lab2.sleep(200);
+        }
+        return false;
+    }
+
+    private int served(String when) {
+        int served = 0;
+        StringBuilder statuses = new StringBuilder();
+        for (int i = 0; i < 20; i++) {
+            String id = lab.requestId();
+            Lab2.Answer answer =
+                lab.request(entries.get(i % 2), "GET", "/check/" + i, id, new byte[0], 1_000);
+            statuses.append(" ").append(id).append("=").append(answer.status());
+            if (answer.status() == 200) served++;
+            Lab2.sleep(50);
+        }
+        lab.note("requests " + when + ":" + statuses);
+        return served;
+    }
+}
