--- /dev/null
+++ b/review/standin-2/PlannedReplacement.java
@@ -0,0 +1,121 @@
+import java.io.IOException;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * A control host is replaced as planned: the new one first, then SIGTERM for the old one. A moment
+ * after the old one has ended, another host loses its disk.
+ */
+final class PlannedReplacement {
+    /** Time from the start of the new host to the stop of the old one. */
+    private static final long BESIDE_MS = 10_000;
+
+    /** Time from the end of the old host to the loss of the disk. */
+    private static final long AFTER_END_MS = Long.getLong("afterEnd", 1_500);
+
+    private static final long AWAY_MS = 1_000;
+
+    private final Lab2 lab;
+    private final List<Lab2.Host> controls = new ArrayList<>();
+    private final List<Lab2.Host> entries = new ArrayList<>();
+
+    private PlannedReplacement(Lab2 lab) {
+        this.lab = lab;
+    }
+
+    public static void main(String[] args) throws Exception {
+        boolean hasTrouble = !"0".equals(System.getenv("TROUBLE"));
+        int status = 2;
+        try (Lab2 lab = new Lab2(Path.of(args[0], "record.txt"))) {
+            status = new PlannedReplacement(lab).run(hasTrouble);
+        } catch (IOException e) {
+            System.err.println("the case could not run: " + e);
+        }
+        System.exit(status);
+    }
+
+    private int run(boolean hasTrouble) throws Exception {
+        List<String> replicas = List.of(lab.ip(31), lab.ip(32));
+        lab.serveList(replicas);
+        for (String ip : replicas) Lab2.listen(ip, lab.targetPort, s -> Replica2.serve(lab, s, ip));
+        List<String> seeds = List.of(lab.ip(11), lab.ip(12), lab.ip(13));
+        for (int i = 0; i < 3; i++) {
+            String zone = "abc".substring(i, i + 1);
+            controls.add(lab.new Host("control-" + zone, "control", seeds.get(i), zone, seeds));
+        }
+        for (int i = 0; i < 2; i++) {
+            String zone = "abc".substring(i, i + 1);
+            entries.add(lab.new Host("entry-" + zone, "entry", lab.ip(21 + i), zone, seeds));
+        }
+        for (Lab2.Host host : controls) host.start(true);
+        for (Lab2.Host host : entries) host.start(true);
+        String configuration = Lab2.configuration(7, Lab2.route("/check/", "idempotent", 2));
+        if (!lab.putUntil(controls, configuration, lab.now() + 20_000)) return 2;
+        Lab2.sleep(5_000);
+        if (served("before") < 10) return 2;
+        if (hasTrouble) disturb(seeds);
+        long back = lab.now();
+        Lab2.sleep(Lab2.RECOVERY_MS + Lab2.ACK_MS);
+        boolean isRead = read();
+        int served = served("after");
+        for (Lab2.Host host : controls) {
+            lab.note(host.name + (host.process.isAlive() ? " runs" : " has ended"));
+        }
+        if (isRead && served >= 5) return 0;
+        lab.note("BROKEN: " + (isRead ? "" : "the acknowledged configuration does not come, ")
+            + served + " of 20 requests are served, " + (lab.now() - back) / 1000
+            + " s after all machines are back");
+        return 1;
+    }
+
+    private void disturb(List<String> seeds) throws Exception {
+        Lab2.Host old = controls.remove(2);
+        Lab2.Host added = lab.new Host("control-d", "control", lab.ip(14), "c", seeds);
+        added.start(false);
+        controls.add(added);
+        Lab2.sleep(BESIDE_MS);
+        lab.note("configuration read beside the new host: " + read());
+        old.signal("TERM");
+        lab.note(old.name + " gets SIGTERM");
+        if (!old.process.waitFor(Lab2.GRACE_MS, TimeUnit.MILLISECONDS)) old.kill();
+        old.eraseDisk();
+        lab.note(old.name + " has ended and is removed");
+        Lab2.sleep(AFTER_END_MS);
+        Lab2.Host lost = controls.get(1);
+        lost.kill();
+        lost.eraseDisk();
+        lab.note(lost.name + " loses its disk");
+        Lab2.sleep(AWAY_MS);
+        lost.start(false);
+    }
+
+    private boolean read() {
+        for (int i = 0; i < 9; i++) {
+            Lab2.Host host = controls.get(i % controls.size());
+            Lab2.Answer answer = Lab2.call(host.ip, lab.controlPort, "GET", "/-/config",
+                Map.of("Host", host.ip), new byte[0], 1_000);
+            lab.note("read at " + host.name + ": status " + answer.status() + " " + answer.cause());
+            if (answer.status() == 200 && answer.text().startsWith("{\"version\":7,")) return true;
+            Lab2.sleep(200);
+        }
+        return false;
+    }
+
+    private int served(String when) {
+        int served = 0;
+        StringBuilder statuses = new StringBuilder();
+        for (int i = 0; i < 20; i++) {
+            String id = lab.requestId();
+            Lab2.Answer answer =
+                lab.request(entries.get(i % 2), "GET", "/check/" + i, id, new byte[0], 1_000);
+            statuses.append(" ").append(id).append("=").append(answer.status());
+            if (answer.status() == 200) served++;
+            Lab2.sleep(50);
+        }
+        lab.note("requests " + when + ":" + statuses);
+        return served;
+    }
+}
