--- a/review/standin-2/FirstStart.java
+++ b/review/standin-2/FirstStart.java
@@ -70,12 +70,28 @@
             lab.note(host.name + (host.process.isAlive() ? " still runs" : " has ended"));
         }
         lab.note("acknowledged " + isAcknowledged + ", served " + served + " of 20, run " + runs);
-        if (isAcknowledged && served >= 5) return 0;
-        lab.note("BROKEN: no order of the operator is acknowledged, no request is served, "
-            + (lab.now() - back) / 1000 + " s after all machines are back");
+        boolean isRead = read(lab, controls);
+        if (isAcknowledged && isRead && served >= 5) return 0;
+        lab.note("BROKEN: no order of the operator is acknowledged, no configuration is read, "
+            + served + " requests are served, " + (lab.now() - back) / 1000
+            + " s after all machines are back");
         return 1;
     }
 
+    /** Reads the configuration at the end, for at least {@code contactMs}, at all control hosts. */
+    private static boolean read(Lab2 lab, List<Lab2.Host> controls) {
+        long end = lab.now() + Lab2.CONTACT_MS + 1_000;
+        for (int i = 0; i < controls.size() || lab.now() < end; i++) {
+            Lab2.Host host = controls.get(i % controls.size());
+            Lab2.Answer answer = Lab2.call(host.ip, lab.controlPort, "GET", "/-/config",
+                Map.of("Host", host.ip), new byte[0], 1_000);
+            lab.note("read at " + host.name + ": status " + answer.status() + " " + answer.cause());
+            if (answer.status() == 200 && answer.text().startsWith("{\"version\":7,")) return true;
+            Lab2.sleep(200);
+        }
+        return false;
+    }
+
     private static void serve(java.net.Socket socket, String ip, AtomicInteger runs)
         throws IOException {
         InputStream input = socket.getInputStream();
