--- a/review/standin-2/PlannedReplacement.java
+++ b/review/standin-2/PlannedReplacement.java
@@ -6,17 +6,15 @@
 import java.util.concurrent.TimeUnit;
 
 /**
- * A control host is replaced as planned: the new one first, then SIGTERM for the old one. A moment
- * after the old one has ended, another host loses its disk.
+ * Two control hosts are replaced as planned: the new ones first, then SIGTERM for the old ones, one
+ * after the other. Nothing fails and no disk is lost of a host that is still needed.
  */
 final class PlannedReplacement {
-    /** Time from the start of the new host to the stop of the old one. */
+    /** Time from the start of the new hosts to the stop of the first old one. */
     private static final long BESIDE_MS = 10_000;
 
-    /** Time from the end of the old host to the loss of the disk. */
-    private static final long AFTER_END_MS = Long.getLong("afterEnd", 1_500);
-
-    private static final long AWAY_MS = 1_000;
+    /** Time from the end of the first old host to the stop of the second. */
+    private static final long AFTER_END_MS = Long.getLong("afterEnd", 500);
 
     private final Lab2 lab;
     private final List<Lab2.Host> controls = new ArrayList<>();
@@ -72,24 +70,20 @@
     }
 
     private void disturb(List<String> seeds) throws Exception {
-        Lab2.Host old = controls.remove(2);
-        Lab2.Host added = lab.new Host("control-d", "control", lab.ip(14), "c", seeds);
-        added.start(false);
-        controls.add(added);
+        List<Lab2.Host> old = List.of(controls.get(2), controls.get(1));
+        controls.removeAll(old);
+        controls.add(lab.new Host("control-d", "control", lab.ip(14), "c", seeds));
+        controls.add(lab.new Host("control-e", "control", lab.ip(15), "b", seeds));
+        for (Lab2.Host host : controls.subList(1, 3)) host.start(false);
         Lab2.sleep(BESIDE_MS);
-        lab.note("configuration read beside the new host: " + read());
-        old.signal("TERM");
-        lab.note(old.name + " gets SIGTERM");
-        if (!old.process.waitFor(Lab2.GRACE_MS, TimeUnit.MILLISECONDS)) old.kill();
-        old.eraseDisk();
-        lab.note(old.name + " has ended and is removed");
-        Lab2.sleep(AFTER_END_MS);
-        Lab2.Host lost = controls.get(1);
-        lost.kill();
-        lost.eraseDisk();
-        lab.note(lost.name + " loses its disk");
-        Lab2.sleep(AWAY_MS);
-        lost.start(false);
+        lab.note("configuration read beside the new hosts: " + read());
+        for (Lab2.Host host : old) {
+            host.signal("TERM");
+            lab.note(host.name + " gets SIGTERM");
+            if (!host.process.waitFor(Lab2.GRACE_MS, TimeUnit.MILLISECONDS)) host.kill();
+            lab.note(host.name + " has ended and is removed");
+            Lab2.sleep(AFTER_END_MS);
+        }
     }
 
     private boolean read() {
