--- a/review/standin-2/Lab2.java
+++ b/review/standin-2/Lab2.java
@@ -467,6 +467,55 @@
         return false;
     }
 
+    /**
+     * Reads the configuration at the control hosts in turn, for longer than {@code contactMs}.
+     * Returns whether one of them answers with {@code version} or a later one.
+     */
+    boolean read(List<Host> controls, long version) {
+        for (int i = 0; i < 10; i++) {
+            Host host = controls.get(i % controls.size());
+            Answer answer = call(host.ip, controlPort, "GET", "/-/config",
+                Map.of("Host", host.ip), new byte[0], 1_000);
+            note("read at " + host.name + ": status " + answer.status() + " " + answer.cause());
+            if (answer.status() == 200 && versionOf(answer.text()) >= version) return true;
+            sleep(200);
+        }
+        return false;
+    }
+
+    private static long versionOf(String configuration) {
+        return Long.parseLong(configuration.substring("{\"version\":".length(),
+            configuration.indexOf(',')));
+    }
+
+    /** Sends 20 requests to the route {@code /check/} and returns how many are served. */
+    int served(List<Host> entries, String when) {
+        int served = 0;
+        StringBuilder statuses = new StringBuilder();
+        for (int i = 0; i < 20; i++) {
+            String id = requestId();
+            Answer answer =
+                request(entries.get(i % entries.size()), "GET", "/check/" + i, id, new byte[0], 1_000);
+            statuses.append(" ").append(id).append("=").append(answer.status());
+            if (answer.status() == 200) served++;
+            sleep(50);
+        }
+        note("requests " + when + ":" + statuses);
+        return served;
+    }
+
+    /** Starts two sound replicas of the service {@code desk} and lists them. */
+    void serveReplicas() throws IOException {
+        List<String> replicas = List.of(ip(31), ip(32));
+        serveList(replicas);
+        for (String ip : replicas) listen(ip, targetPort, socket -> Replica2.serve(this, socket, ip));
+    }
+
+    /** Returns a configuration with the route {@code /check/}, which may be repeated. */
+    static String checkConfiguration(long version) {
+        return configuration(version, route("/check/", "idempotent", 2));
+    }
+
     String requestId() {
         return String.format("%016x", random.nextLong());
     }
--- a/review/standin-2/LostDisks.java
+++ b/review/standin-2/LostDisks.java
@@ -50,9 +50,7 @@
     }
 
     private int run(boolean hasTrouble) throws Exception {
-        List<String> replicas = List.of(lab.ip(31), lab.ip(32));
-        lab.serveList(replicas);
-        for (String ip : replicas) Lab2.listen(ip, lab.targetPort, s -> Replica2.serve(lab, s, ip));
+        lab.serveReplicas();
         List<String> seeds = List.of(lab.ip(11), lab.ip(12), lab.ip(13));
         lab.bearsTwo = true;
         for (int i = 0; i < 5; i++) {
@@ -66,16 +64,16 @@
         }
         for (Lab2.Host host : controls) host.start(true);
         for (Lab2.Host host : entries) host.start(true);
-        String configuration = Lab2.configuration(7, Lab2.route("/check/", "idempotent", 2));
+        String configuration = Lab2.checkConfiguration(7);
         if (!lab.putUntil(controls, configuration, lab.now() + 20_000)) return 2;
         Lab2.sleep(CATCH_UP_MS);
-        if (served("before") < 10) return 2;
+        if (lab.served(entries, "before") < 10) return 2;
         if (hasTrouble && !disturb()) return 2;
         // From here on all machines run and nothing disturbs them.
         long back = lab.now();
         Lab2.sleep(RECOVERY_MS + ACK_MS);
-        boolean isRead = read();
-        int served = served("after");
+        boolean isRead = lab.read(controls, 7);
+        int served = lab.served(entries, "after");
         for (Lab2.Host host : controls) {
             lab.note(host.name + (host.process.isAlive() ? " runs" : " has ended") + ", voters "
                 + metric(host, "primroseflow_control_voters"));
@@ -108,7 +106,7 @@
         lab.note(controls.get(indexOfLeader()).name + " leads, which is no seed");
         loseDisks(controls.subList(0, 1));
         Lab2.sleep(BETWEEN_MS);
-        lab.note("configuration still read: " + read() + ", served " + served("between"));
+        lab.note("configuration still read: " + lab.read(controls, 7) + ", served " + lab.served(entries, "between"));
         loseDisks(controls.subList(1, 3));
         return true;
     }
@@ -139,32 +137,4 @@
         }
         return "unknown";
     }
-
-    /** Reads the configuration at all hosts in turn, as at the end of a day. */
-    private boolean read() {
-        for (int i = 0; i < 10; i++) {
-            Lab2.Host host = controls.get(i % controls.size());
-            Lab2.Answer answer = Lab2.call(host.ip, lab.controlPort, "GET", "/-/config",
-                Map.of("Host", host.ip), new byte[0], 1_000);
-            lab.note("read at " + host.name + ": status " + answer.status() + " " + answer.cause());
-            if (answer.status() == 200 && answer.text().startsWith("{\"version\":7,")) return true;
-            Lab2.sleep(200);
-        }
-        return false;
-    }
-
-    private int served(String when) {
-        int served = 0;
-        StringBuilder statuses = new StringBuilder();
-        for (int i = 0; i < 20; i++) {
-            String id = lab.requestId();
-            Lab2.Answer answer =
-                lab.request(entries.get(i % 2), "GET", "/check/" + i, id, new byte[0], 1_000);
-            statuses.append(" ").append(id).append("=").append(answer.status());
-            if (answer.status() == 200) served++;
-            Lab2.sleep(50);
-        }
-        lab.note("requests " + when + ":" + statuses);
-        return served;
-    }
 }
--- a/review/standin-2/PlannedReplacement.java
+++ b/review/standin-2/PlannedReplacement.java
@@ -2,7 +2,6 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.Map;
 import java.util.concurrent.TimeUnit;
 
 /**
@@ -36,9 +35,7 @@
     }
 
     private int run(boolean hasTrouble) throws Exception {
-        List<String> replicas = List.of(lab.ip(31), lab.ip(32));
-        lab.serveList(replicas);
-        for (String ip : replicas) Lab2.listen(ip, lab.targetPort, s -> Replica2.serve(lab, s, ip));
+        lab.serveReplicas();
         List<String> seeds = List.of(lab.ip(11), lab.ip(12), lab.ip(13));
         for (int i = 0; i < 3; i++) {
             String zone = "abc".substring(i, i + 1);
@@ -50,15 +47,15 @@
         }
         for (Lab2.Host host : controls) host.start(true);
         for (Lab2.Host host : entries) host.start(true);
-        String configuration = Lab2.configuration(7, Lab2.route("/check/", "idempotent", 2));
+        String configuration = Lab2.checkConfiguration(7);
         if (!lab.putUntil(controls, configuration, lab.now() + 20_000)) return 2;
         Lab2.sleep(5_000);
-        if (served("before") < 10) return 2;
+        if (lab.served(entries, "before") < 10) return 2;
         if (hasTrouble) disturb(seeds);
         long back = lab.now();
         Lab2.sleep(Lab2.RECOVERY_MS + Lab2.ACK_MS);
-        boolean isRead = read();
-        int served = served("after");
+        boolean isRead = lab.read(controls, 7);
+        int served = lab.served(entries, "after");
         for (Lab2.Host host : controls) {
             lab.note(host.name + (host.process.isAlive() ? " runs" : " has ended"));
         }
@@ -76,7 +73,7 @@
         controls.add(lab.new Host("control-e", "control", lab.ip(15), "b", seeds));
         for (Lab2.Host host : controls.subList(1, 3)) host.start(false);
         Lab2.sleep(BESIDE_MS);
-        lab.note("configuration read beside the new hosts: " + read());
+        lab.note("configuration read beside the new hosts: " + lab.read(controls, 7));
         for (Lab2.Host host : old) {
             host.signal("TERM");
             lab.note(host.name + " gets SIGTERM");
@@ -85,31 +82,4 @@
             Lab2.sleep(AFTER_END_MS);
         }
     }
-
-    private boolean read() {
-        for (int i = 0; i < 9; i++) {
-            Lab2.Host host = controls.get(i % controls.size());
-            Lab2.Answer answer = Lab2.call(host.ip, lab.controlPort, "GET", "/-/config",
-                Map.of("Host", host.ip), new byte[0], 1_000);
-            lab.note("read at " + host.name + ": status " + answer.status() + " " + answer.cause());
-            if (answer.status() == 200 && answer.text().startsWith("{\"version\":7,")) return true;
-            Lab2.sleep(200);
-        }
-        return false;
-    }
-
-    private int served(String when) {
-        int served = 0;
-        StringBuilder statuses = new StringBuilder();
-        for (int i = 0; i < 20; i++) {
-            String id = lab.requestId();
-            Lab2.Answer answer =
-                lab.request(entries.get(i % 2), "GET", "/check/" + i, id, new byte[0], 1_000);
-            statuses.append(" ").append(id).append("=").append(answer.status());
-            if (answer.status() == 200) served++;
-            Lab2.sleep(50);
-        }
-        lab.note("requests " + when + ":" + statuses);
-        return served;
-    }
 }
--- a/review/standin-2/ZoneLost.java
+++ b/review/standin-2/ZoneLost.java
@@ -3,7 +3,6 @@
 import java.util.ArrayList;
 import java.util.LinkedHashSet;
 import java.util.List;
-import java.util.Map;
 import java.util.Set;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
@@ -41,9 +40,7 @@
     }
 
     private int run(boolean hasTrouble) throws Exception {
-        List<String> replicas = List.of(lab.ip(31), lab.ip(32));
-        lab.serveList(replicas);
-        for (String ip : replicas) Lab2.listen(ip, lab.targetPort, s -> Replica2.serve(lab, s, ip));
+        lab.serveReplicas();
         List<String> seeds = List.of(lab.ip(11), lab.ip(12), lab.ip(13));
         for (int i = 0; i < 3; i++) {
             String zone = "abc".substring(i, i + 1);
@@ -52,7 +49,7 @@
         }
         for (Lab2.Host host : controls) host.start(true);
         for (Lab2.Host host : entries) host.start(true);
-        if (!lab.putUntil(controls, configuration(7), lab.now() + 20_000)) return 2;
+        if (!lab.putUntil(controls, Lab2.checkConfiguration(7), lab.now() + 20_000)) return 2;
         Lab2.sleep(5_000);
         for (int i = 0; i < 3; i++) {
             String zone = "abc".substring(i, i + 1);
@@ -78,9 +75,9 @@
         Lab2.sleep(Lab2.CONTACT_MS + Lab2.CONTACT_MS);
         // From here on, the core is stable and all machines that run are in touch.
         boolean isAcknowledged =
-            lab.putUntil(running, configuration(8), lab.now() + 2 * Lab2.ACK_MS);
-        boolean isRead = read(running);
-        int served = served();
+            lab.putUntil(running, Lab2.checkConfiguration(8), lab.now() + 2 * Lab2.ACK_MS);
+        boolean isRead = lab.read(running, isAcknowledged ? 8 : 7);
+        int served = lab.served(entries, "after");
         if (isAcknowledged && isRead && served >= 5) return 0;
         lab.note("BROKEN: " + (lab.now() - lostAt) / 1000 + " s after the loss of a zone no order "
             + "is acknowledged, the configuration does not come, " + served
@@ -88,10 +85,6 @@
         return 1;
     }
 
-    private static String configuration(long version) {
-        return Lab2.configuration(version, Lab2.route("/check/", "idempotent", 2));
-    }
-
     /** Returns the zone of the added host that joined first, as the log of the leader has it. */
     private String zoneOfFirstLearner() throws IOException {
         Set<String> joined = new LinkedHashSet<>();
@@ -113,32 +106,4 @@
         host.kill();
         lab.note(host.name + " loses power");
     }
-
-    private boolean read(List<Lab2.Host> running) {
-        for (int i = 0; i < 8; i++) {
-            Lab2.Host host = running.get(i % running.size());
-            Lab2.Answer answer = Lab2.call(host.ip, lab.controlPort, "GET", "/-/config",
-                Map.of("Host", host.ip), new byte[0], 1_000);
-            lab.note("read at " + host.name + ": status " + answer.status() + " " + answer.cause());
-            if (answer.status() == 200) return true;
-            Lab2.sleep(200);
-        }
-        return false;
-    }
-
-    private int served() {
-        int served = 0;
-        StringBuilder statuses = new StringBuilder();
-        for (int i = 0; i < 20; i++) {
-            String id = lab.requestId();
-            Lab2.Host entry = entries.get(i % entries.size());
-            Lab2.Answer answer =
-                lab.request(entry, "GET", "/check/" + i, id, new byte[0], 1_000);
-            statuses.append(" ").append(id).append("=").append(answer.status());
-            if (answer.status() == 200) served++;
-            Lab2.sleep(50);
-        }
-        lab.note("requests:" + statuses);
-        return served;
-    }
 }
