Admit hosts to the control group whose seeds do not lead

Cause: only the leader admits a host, and a host with an empty disk knows its seeds alone. A seed that does not lead kept the request to itself. The host that had lost its disk never joined again, its lost replica stayed a voter, and two lost disks later two of five voters were left. Change: a host that is asked to admit another and does not lead names the leader and the voters it knows (MembersKnown), and the joining host asks these too. Beside it, a member that was removed while it was unreachable took its former leader for its present one and never asked again; a member without a message of the leader for 2 s asks now. A gauge tells the number of learners, which showed the admission in the test. Why it works: any seed that runs and has heard of the group names a voter, and voters name the leader, so the request reaches it by repeated hints.

--- a/core/src/main/kotlin/io/primroseflow/consensus/Replica.kt
+++ b/core/src/main/kotlin/io/primroseflow/consensus/Replica.kt
@@ -147,6 +147,10 @@
     /** The members according to the latest membership entry, committed or not. */
     public val membership: Membership get() = log.membership()
 
+    /** The group as this replica sees it. */
+    public val groupView: GroupView
+        get() = GroupView(id, membership, leader, state.lastLeaderContactAt)
+
     /** The leader's view of the other members, `null` unless this replica leads. */
     public val memberViews: Map<HostId, MemberView>? get() = leaderRole?.memberViews()
 
--- a/daemon/src/main/kotlin/io/primroseflow/daemon/control/ControlHost.kt
+++ b/daemon/src/main/kotlin/io/primroseflow/daemon/control/ControlHost.kt
@@ -4,6 +4,8 @@
 import com.github.michaelbull.result.getOrElse
 import com.github.michaelbull.result.mapBoth
 import com.github.michaelbull.result.onFailure
+import io.primroseflow.consensus.GroupAdmission
+import io.primroseflow.consensus.MemberHint
 import io.primroseflow.consensus.MembershipPlanner
 import io.primroseflow.consensus.MembershipSettings
 import io.primroseflow.consensus.ReplicaMessage
@@ -240,6 +242,9 @@
         gauge("voters", "Voting replicas of the control group") {
             replica.status.membership.voters.size
         }
+        gauge("learners", "Replicas that follow the control group without a vote") {
+            replica.status.membership.learners.size
+        }
         gauge("policy_revision", "Policy in force at this host") { policy.revision.number }
         page.gauge("control_disk_failing", "1 while the disk of this host does not accept writes") {
             if (isDiskFailing || running?.replica?.status?.isDiskFailing == true) 1 else 0
@@ -348,6 +353,8 @@
             random = random,
             planner = planner
         )
+        private val admission =
+            GroupAdmission({ it.machine() }) { settings.seeds().map(::HostId).toSet() }
         val client: ControlClient = ControlClient(clock, links::send, seedHosts(), random)
         val scheduler: SharedScheduler =
             SharedScheduler(
@@ -419,13 +426,19 @@
             if (status.membership.voters.isNotEmpty()) {
                 client.replicas = status.membership.voters.toList()
             }
-            val belongs = self in status.membership.all
-            if (isLeader || (belongs && status.leader != null)) return
-            val others = seedHosts() + status.membership.voters
-            others.distinctBy { it.machine() }.filter { it.machine() != settings.address }
+            admission.hostsToAsk(status.group, clock.now())
                 .forEach { links.send(it, PeerMessage.JoinRequest) }
         }
 
+        private fun onJoinRequest(from: HostId) {
+            if (isLeader) {
+                replica.onJoinRequest(from)
+            } else {
+                val hint = admission.hintOrNull(replica.status.group) ?: return
+                links.send(from, PeerMessage.MembersKnown(hint.leader, hint.voters))
+            }
+        }
+
         private fun handle(from: HostId, message: PeerMessage) {
             when (message) {
                 is PeerMessage.Replication -> replica.receive(from, message.message)
@@ -439,7 +452,10 @@
 
                 is PeerMessage.Scheduling -> scheduler.handle(from, message)
 
-                PeerMessage.JoinRequest -> replica.onJoinRequest(from)
+                PeerMessage.JoinRequest -> onJoinRequest(from)
+
+                is PeerMessage.MembersKnown ->
+                    admission.onHint(MemberHint(message.leader, message.voters), clock.now())
 
                 is PeerMessage.HistoryQuestion ->
                     links.send(from, PeerMessage.HistoryAnswer(hasHistory(), message.call))
--- a/daemon/src/main/kotlin/io/primroseflow/daemon/control/ControlPlane.kt
+++ b/daemon/src/main/kotlin/io/primroseflow/daemon/control/ControlPlane.kt
@@ -167,7 +167,9 @@
             is PeerMessage.HistoryAnswer -> replica?.onHistoryAnswer(from, message)
 
             // Hosts with fixed peers neither use a shared scheduler nor accept join requests.
-            is PeerMessage.Scheduling, PeerMessage.JoinRequest ->
+            is PeerMessage.Scheduling,
+            PeerMessage.JoinRequest,
+            is PeerMessage.MembersKnown ->
                 log.debug("unexpected message from {}: {}", from, message)
         }
     }
--- a/daemon/src/main/kotlin/io/primroseflow/daemon/control/ReplicaTask.kt
+++ b/daemon/src/main/kotlin/io/primroseflow/daemon/control/ReplicaTask.kt
@@ -4,6 +4,7 @@
 import io.primroseflow.consensus.ConfirmedRead
 import io.primroseflow.consensus.Effects
 import io.primroseflow.consensus.EntryContent
+import io.primroseflow.consensus.GroupView
 import io.primroseflow.consensus.HardState
 import io.primroseflow.consensus.Joiner
 import io.primroseflow.consensus.LogEntry
@@ -113,6 +114,7 @@
 /**
  * The status of a control replica.
  *
+ * @property group the group as the replica sees it
  * @property claims number of claims in the control state
  * @property isDiskFailing whether the last write to the log or the last snapshot failed
  * @property skippedEntries committed entries since the start that could not be applied
@@ -120,13 +122,16 @@
 internal data class ReplicaStatus(
     val role: ReplicaRole,
     val term: Term,
-    val leader: HostId?,
+    val group: GroupView,
     val commitIndex: LogIndex,
-    val membership: Membership,
     val claims: Int,
     val isDiskFailing: Boolean,
     val skippedEntries: Long
-)
+) {
+    val leader: HostId? get() = group.leader
+
+    val membership: Membership get() = group.membership
+}
 
 /** Connects a [ReplicaTask] to the other replicas and to the users of the policy. */
 internal interface ReplicaListener {
@@ -627,9 +632,8 @@
     private fun currentStatus() = ReplicaStatus(
         role = replica.role,
         term = replica.term,
-        leader = replica.leader,
+        group = replica.groupView,
         commitIndex = replica.commitIndex,
-        membership = replica.membership,
         claims = state.status().claims,
         isDiskFailing = isLogFailing || isSnapshotFailing,
         skippedEntries = skippedEntries
--- a/daemon/src/main/kotlin/io/primroseflow/daemon/peer/PeerMessages.kt
+++ b/daemon/src/main/kotlin/io/primroseflow/daemon/peer/PeerMessages.kt
@@ -399,6 +399,17 @@
     @SerialName("join")
     data object JoinRequest : PeerMessage
 
+    /**
+     * Answers a [JoinRequest] to a host that does not lead: names the [leader], if it is known, and
+     * the [voters] of the control group.
+     */
+    @Serializable
+    @SerialName("mbr")
+    data class MembersKnown(
+        @SerialName("l") val leader: HostId?,
+        @SerialName("v") val voters: Set<HostId>
+    ) : PeerMessage
+
     /** Host states spread by gossip. */
     @Serializable
     @SerialName("gos")
