End connections between hosts whose writes make no progress

Cause: a missing pong was looked for between two writes only, and a write waited without a limit until the socket took bytes. With enough waiting to fill the send buffer before the 1.5 s for a pong were over, the write never ended, and the link was not dialled again. The leader counted the host as attached, as its reports arrived on its own connection. Change: output is passed to the socket in parts of 32 KiB, so that a part that was taken shows progress. On connections between hosts a flush that sees no progress for the time of a missing pong aborts the connection. That holds for both directions, as the host that is dialled writes pongs. Why it works: a silent connection takes no bytes once its buffers are full, and a slow one takes some; the first is dialled again after 1.5 s, the second is left alone.

--- a/daemon/src/main/kotlin/io/primroseflow/daemon/peer/PeerLinks.kt
+++ b/daemon/src/main/kotlin/io/primroseflow/daemon/peer/PeerLinks.kt
@@ -40,7 +40,10 @@
 /** Minimum time between two pings on a connection that carries messages. */
 private val PING_INTERVAL: Duration = 500.milliseconds
 
-/** Time without a pong after which a connection counts as lost and is dialled again. */
+/**
+ * Time without a pong, or without progress of a write, after which a connection counts as lost and
+ * is dialled again.
+ */
 private val RESPONSE_TIMEOUT: Duration = 1_500.milliseconds
 
 /** Delay after a connection has ended before the host is dialled again. */
@@ -180,6 +183,7 @@
 
     private suspend fun runSession(to: HostId, socket: StreamSocket, link: PeerLink) =
         coroutineScope {
+            socket.stallTimeout = RESPONSE_TIMEOUT
             val output = socket.output
             val input = socket.input
             write(output, PeerFrame.Hello(PROTOCOL_VERSION, self, to, hybridClock.next()))
@@ -200,7 +204,8 @@
      *
      * Pings are sent only after messages, so that an idle connection causes no traffic.
      *
-     * @throws IOException if a ping is not answered within [RESPONSE_TIMEOUT]
+     * @throws IOException if a ping is not answered or a write makes no progress within
+     *   [RESPONSE_TIMEOUT]
      */
     private suspend fun writeMessages(
         output: ByteWriteChannel,
@@ -244,6 +249,7 @@
     }
 
     private suspend fun serve(socket: StreamSocket) {
+        socket.stallTimeout = RESPONSE_TIMEOUT
         try {
             socket.use { serveConnection(it.input, it.output) }
         } catch (e: IOException) {
--- a/daemon/src/main/kotlin/io/primroseflow/daemon/socket/StreamSocket.kt
+++ b/daemon/src/main/kotlin/io/primroseflow/daemon/socket/StreamSocket.kt
@@ -17,6 +17,7 @@
 import kotlin.time.Duration.Companion.seconds
 import kotlinx.coroutines.CancellableContinuation
 import kotlinx.coroutines.suspendCancellableCoroutine
+import kotlinx.coroutines.withTimeoutOrNull
 import kotlinx.io.Buffer
 import kotlinx.io.Sink
 import kotlinx.io.Source
@@ -25,6 +26,9 @@
 /** Number of received bytes above which no more are read until the reader asks for them. */
 private const val MAX_BUFFERED_BYTES = 16 * 1024
 
+/** Size of the parts in which output is passed on, so that a part that was taken shows progress. */
+private const val OUTPUT_PART_BYTES = 32 * 1024
+
 /** Time for the peer to read what was written before [StreamSocket.close]. */
 private val CLOSE_TIMEOUT: Duration = 5.seconds
 
@@ -50,6 +54,12 @@
     private var isInputEnded = false
     private var isClosing = false
 
+    /**
+     * Time for which a flush waits while the socket takes no bytes; `null` for no limit. After that
+     * the connection is aborted and the flush fails.
+     */
+    var stallTimeout: Duration? = null
+
     /** Called when the socket takes bytes again after [isWritable] was `false`. */
     var onWritable: (() -> Unit)? = null
 
@@ -222,21 +232,44 @@
         override suspend fun flush() {
             throwIfClosed()
             if (pending.exhausted()) return
-            channel.writeAndFlush(Unpooled.wrappedBuffer(pending.readByteArray()))
-                .addListener { future ->
+            val bytes = pending.readByteArray()
+            for (start in bytes.indices step OUTPUT_PART_BYTES) {
+                val size = minOf(OUTPUT_PART_BYTES, bytes.size - start)
+                channel.write(Unpooled.wrappedBuffer(bytes, start, size)).addListener { future ->
                     future.cause()?.let { fail(it as? IOException ?: IOException(it)) }
                 }
+            }
+            channel.flush()
+            awaitWritable()
+            throwIfClosed()
+        }
+
+        private suspend fun awaitWritable() {
             while (!channel.isWritable && channel.isActive) {
-                suspendCancellableCoroutine { continuation ->
-                    writer = continuation
-                    continuation.invokeOnCancellation {
-                        if (writer === continuation) writer = null
-                    }
+                val waiting = bytesToWrite()
+                val limit = stallTimeout
+                if (limit == null) {
+                    awaitWake()
+                } else if (withTimeoutOrNull(limit) { awaitWake() } == null &&
+                    bytesToWrite() == waiting
+                ) {
+                    abort()
+                    throw IOException("the peer has taken no bytes for $limit")
                 }
             }
-            throwIfClosed()
         }
 
+        private suspend fun awaitWake() = suspendCancellableCoroutine { continuation ->
+            writer = continuation
+            continuation.invokeOnCancellation {
+                if (writer === continuation) writer = null
+            }
+        }
+
+        /** Returns the number of bytes that the system has not taken over yet. */
+        private fun bytesToWrite(): Long =
+            channel.unsafe().outboundBuffer()?.totalPendingWriteBytes() ?: 0
+
         override suspend fun flushAndClose() {
             flush()
             close()
--- a/daemon/src/test/kotlin/io/primroseflow/daemon/peer/BlackholeProxy.kt
+++ b/daemon/src/test/kotlin/io/primroseflow/daemon/peer/BlackholeProxy.kt
@@ -1,23 +1,34 @@
 package io.primroseflow.daemon.peer
 
 import java.io.IOException
+import java.net.InetSocketAddress
 import java.net.ServerSocket
 import java.net.Socket
 import java.util.concurrent.CopyOnWriteArrayList
 import java.util.concurrent.atomic.AtomicInteger
 import kotlin.concurrent.thread
 
+/** Size of the receive buffers of a [BlackholeProxy], in bytes. */
+private const val WINDOW_BYTES = 64 * 1024
+
 /**
  * Forwards connections to [port] and can silently drop the data of all current ones, as a
- * middlebox that has lost its connection state does. Later connections still work.
+ * middlebox that has lost its connection state does, or stop to take any. Later connections still
+ * work.
  */
 internal class BlackholeProxy(private val port: Int) : AutoCloseable {
     private class Relay(val from: Socket, val to: Socket) {
         @Volatile
         var isBlackholed = false
+
+        @Volatile
+        var isStalled = false
     }
 
-    private val server = ServerSocket(0)
+    private val server = ServerSocket().apply {
+        receiveBufferSize = WINDOW_BYTES
+        bind(InetSocketAddress("127.0.0.1", 0))
+    }
     private val relays = CopyOnWriteArrayList<Relay>()
 
     val localPort: Int get() = server.localPort
@@ -32,6 +43,9 @@
     /** Drops all further data of the current connections without closing them. */
     fun blackhole() = relays.forEach { it.isBlackholed = true }
 
+    /** Takes no further data of the current connections, without closing them. */
+    fun stall() = relays.forEach { it.isStalled = true }
+
     override fun close() {
         server.close()
         relays.forEach {
@@ -60,6 +74,7 @@
             while (true) {
                 val count = from.getInputStream().read(buffer)
                 if (count < 0) break
+                if (relay.isStalled) Thread.sleep(Long.MAX_VALUE)
                 if (!relay.isBlackholed) to.getOutputStream().write(buffer, 0, count)
             }
             to.close()
--- a/daemon/src/test/kotlin/io/primroseflow/daemon/peer/PeerLinksTest.kt
+++ b/daemon/src/test/kotlin/io/primroseflow/daemon/peer/PeerLinksTest.kt
@@ -4,6 +4,12 @@
 import io.kotest.matchers.collections.shouldContain
 import io.kotest.matchers.ints.shouldBeGreaterThan
 import io.kotest.matchers.shouldBe
+import io.primroseflow.consensus.CommandBytes
+import io.primroseflow.consensus.LogIndex
+import io.primroseflow.consensus.Membership
+import io.primroseflow.consensus.ReplicaMessage
+import io.primroseflow.consensus.SnapshotMetadata
+import io.primroseflow.consensus.Term
 import io.primroseflow.control.PolicyRevision
 import io.primroseflow.daemon.MonotonicClock
 import io.primroseflow.daemon.PeerAddress
@@ -32,6 +38,17 @@
 /** A message that the handler of a [TestPeer] fails on. */
 private val oddMessage = message(-1)
 
+/** A message that no send buffer holds. */
+private val largeMessage = PeerMessage.Replication(
+    ReplicaMessage.SnapshotChunk(
+        Term(1),
+        SnapshotMetadata(LogIndex(1), Term(1), Membership(setOf(a))),
+        offset = 0,
+        bytes = CommandBytes(ByteArray(MAX_FRAME_BYTES - 1_000)),
+        isLast = true
+    )
+)
+
 private class TestPeer(name: HostId) : AutoCloseable {
     val received = CopyOnWriteArrayList<PeerMessage>()
     val lost = CopyOnWriteArrayList<HostId>()
@@ -124,6 +141,27 @@
                 }
             }
 
+            // A write waited without a limit for a connection that took no bytes any more, so the
+            // host at its end acted by an old policy for good.
+            it("is dialled again if its connection stalls while much is to be sent") {
+                TestPeer(a).use { from ->
+                    TestPeer(b).use { to ->
+                        BlackholeProxy(to.links.listen("127.0.0.1", 0)).use { proxy ->
+                            from.links.updateAddresses(listOf(address(b, proxy.localPort)))
+                            from.links.send(b, message(1))
+                            awaitTrue { to.received.isNotEmpty() }
+                            proxy.stall()
+                            from.links.send(b, largeMessage)
+                            awaitTrue {
+                                from.links.send(b, message(2))
+                                message(2) in to.received
+                            }
+                            proxy.accepted.get() shouldBeGreaterThan 1
+                        }
+                    }
+                }
+            }
+
             it("still works if another connection sends malformed frames") {
                 TestPeer(a).use { from ->
                     TestPeer(b).use { to ->
