Hand over the vote of a control host before a planned stop

Cause: a host that gets SIGTERM handed over its leadership, but not its vote. Until it had been silent for 3 s it counted as a voter, though two hosts that had caught up stood by as learners. The stop of the next voter in that time left one of three. Change: a host that is to stop transfers its leadership and asks the leader to leave, until the leader has released it or has told that no other replica can take its place. The leader promotes a successor first and removes the leaving voter then, as that still has its vote. A learner that leaves is not promoted, and a host that leaves does not ask to join. The requests of joining and leaving hosts are kept by MembershipCoordinator in core. Why it works: once released, the host is no voter, so its end takes nothing from the quorum, whatever stops next.

--- a/core/src/main/kotlin/io/primroseflow/consensus/MembershipPlanner.kt
+++ b/core/src/main/kotlin/io/primroseflow/consensus/MembershipPlanner.kt
@@ -22,6 +22,12 @@
  */
 public data class Joiner(val host: HostId, val address: String, val lastRequestAt: Instant)
 
+/** The hosts that ask to join, and those that ask to leave before a planned stop. */
+public data class MemberRequests(
+    val joiners: List<Joiner> = emptyList(),
+    val leaving: Set<HostId> = emptySet()
+)
+
 /**
  * Settings of a [MembershipPlanner].
  *
@@ -35,14 +41,12 @@
     val learnerTimeout: Duration = 30.seconds
 )
 
-/** Time without a join request after which a joiner is no longer considered. */
-private val JOINER_TIMEOUT: Duration = 3.seconds
-
 /**
  * Plans the single-server membership changes by which a leader keeps the group at its target size.
  *
  * A voter is removed only when a learner that has caught up can replace it, so that losing another
- * machine right after a repair loses no data. A replica that has lost its disk comes back under a
+ * machine right after a repair loses no data. A voter that leaves still has its vote, so its
+ * successor is promoted first. A replica that has lost its disk comes back under a
  * new host id. Its old id can never vote again, so that id is replaced before any other voter that
  * does not reply.
  *
@@ -58,27 +62,58 @@
      * Returns the next change, or `null` if no change is needed or possible.
      *
      * @param views the leader's view of the other members
-     * @param joiners replicas that ask to join the group
+     * @param requests the hosts that ask to join or to leave
      */
     public fun nextChangeOrNull(
         membership: Membership,
         views: Map<HostId, MemberView>,
-        joiners: Collection<Joiner>,
+        requests: MemberRequests,
         now: Instant
     ): MemberChange? {
-        val activeJoiners = joiners.filter { now - it.lastRequestAt <= JOINER_TIMEOUT }
-        val ready = membership.learners.filter { isReady(views[it], now) }
-        return addOrNull(membership, activeJoiners)
-            ?: promoteOrNull(membership, ready)
+        val leaving = requests.leaving
+        val ready = membership.learners.filter { it !in leaving && isReady(views[it], now) }
+        return addOrNull(membership, requests.joiners)
+            ?: releaseOrNull(membership, leaving, views, now)
+            ?: promoteOrNull(membership, ready, leaving)
             ?: replaceOrNull(membership, ready, views, now)
-            ?: removeLearnerOrNull(membership, views, activeJoiners, now)
+            ?: removeLearnerOrNull(membership, views, requests.joiners, now)
+    }
+
+    /** Returns whether a voter that asks to leave can be released soon. */
+    public fun canRelease(
+        membership: Membership,
+        views: Map<HostId, MemberView>,
+        requests: MemberRequests,
+        now: Instant
+    ): Boolean {
+        val learners = membership.learners.filter {
+            it !in requests.leaving && !isSilent(views[it], settings.voterTimeout, now)
+        }
+        return membership.voters.size > settings.voterCount || learners.isNotEmpty() ||
+            requests.joiners.any { it.host !in membership.all }
     }
 
     private fun addOrNull(membership: Membership, joiners: List<Joiner>): MemberChange? =
         joiners.firstOrNull { it.host !in membership.all }?.let { MemberChange.AddLearner(it.host) }
 
-    private fun promoteOrNull(membership: Membership, ready: List<HostId>): MemberChange? {
-        if (membership.voters.size >= settings.voterCount) return null
+    /** Removes a voter that leaves if its successor has been promoted. */
+    private fun releaseOrNull(
+        membership: Membership,
+        leaving: Set<HostId>,
+        views: Map<HostId, MemberView>,
+        now: Instant
+    ): MemberChange? {
+        if (membership.voters.size <= settings.voterCount) return null
+        return membership.voters.firstOrNull { it in leaving && it != self }
+            ?.let { removeOrNull(membership, it, views, now) }
+    }
+
+    private fun promoteOrNull(
+        membership: Membership,
+        ready: List<HostId>,
+        leaving: Set<HostId>
+    ): MemberChange? {
+        if ((membership.voters - leaving).size >= settings.voterCount) return null
         return ready.firstOrNull()?.let { MemberChange.Promote(it) }
     }
 
@@ -93,7 +128,16 @@
         val others = membership.voters - self
         val superseded = others.firstOrNull { addressOf(it) in readyAddresses }
         val silent = others.firstOrNull { isSilent(views[it], settings.voterTimeout, now) }
-        val removed = superseded ?: silent ?: return null
+        return removeOrNull(membership, superseded ?: silent ?: return null, views, now)
+    }
+
+    /** Returns the removal of [removed], unless the other voters have no responsive quorum. */
+    private fun removeOrNull(
+        membership: Membership,
+        removed: HostId,
+        views: Map<HostId, MemberView>,
+        now: Instant
+    ): MemberChange? {
         val remaining = membership.voters - removed
         val responsive =
             remaining.count { it == self || !isSilent(views[it], settings.voterTimeout, now) }
--- a/core/src/main/kotlin/io/primroseflow/consensus/Replica.kt
+++ b/core/src/main/kotlin/io/primroseflow/consensus/Replica.kt
@@ -147,6 +147,9 @@
     /** The members according to the latest membership entry, committed or not. */
     public val membership: Membership get() = log.membership()
 
+    /** Whether the latest membership entry is not committed yet. */
+    public val hasPendingChange: Boolean get() = log.membershipIndex() > commitIndex
+
     /** The group as this replica sees it. */
     public val groupView: GroupView
         get() = GroupView(id, membership, leader, state.lastLeaderContactAt)
--- a/core/src/test/kotlin/io/primroseflow/consensus/MembershipPlannerTest.kt
+++ b/core/src/test/kotlin/io/primroseflow/consensus/MembershipPlannerTest.kt
@@ -31,7 +31,19 @@
         ) = planner.nextChangeOrNull(
             Membership(voters, learners),
             views.mapKeys { HostId(it.key) },
-            joiners.toList(),
+            MemberRequests(joiners.toList()),
+            now
+        )
+
+        fun nextChange(
+            voters: Set<HostId>,
+            learners: Set<HostId>,
+            views: Map<String, MemberView>,
+            leaving: Set<HostId>
+        ) = planner.nextChangeOrNull(
+            Membership(voters, learners),
+            views.mapKeys { HostId(it.key) },
+            MemberRequests(leaving = leaving),
             now
         )
 
@@ -83,6 +95,37 @@
             }
         }
 
+        // A stopped host stayed a voter until it counted as silent, and the stop of another voter
+        // in that time left the group without a quorum.
+        describe("a voter that leaves") {
+            val views =
+                mapOf("b" to responsive, "c" to responsive, "d" to responsive, "e" to responsive)
+
+            it("is removed once a learner has been promoted in its place") {
+                val leaving = hosts("b")
+                nextChange(hosts("a", "b", "c"), hosts("d"), views, leaving) shouldBe
+                    MemberChange.Promote(HostId("d"))
+                nextChange(hosts("a", "b", "c", "d"), hosts(), views, leaving) shouldBe
+                    MemberChange.Remove(HostId("b"))
+                nextChange(hosts("a", "c", "d"), hosts(), views, leaving) shouldBe null
+            }
+
+            it("stays a voter while no learner can replace it") {
+                nextChange(hosts("a", "b", "c"), hosts(), views, hosts("b")) shouldBe null
+            }
+
+            it("is not replaced by a learner that leaves too") {
+                nextChange(hosts("a", "b", "c"), hosts("d"), views, hosts("b", "d")) shouldBe null
+            }
+
+            it("leaves a quorum if two voters leave and one learner can replace them") {
+                val leaving = hosts("b", "c")
+                nextChange(hosts("a", "b", "c", "d"), hosts(), views, leaving) shouldBe
+                    MemberChange.Remove(HostId("b"))
+                nextChange(hosts("a", "c", "d"), hosts(), views, leaving) shouldBe null
+            }
+        }
+
         describe("a learner") {
             it("is removed when its machine joins under another host id") {
                 val views = mapOf(
--- a/daemon/src/main/kotlin/io/primroseflow/daemon/HostProcesses.kt
+++ b/daemon/src/main/kotlin/io/primroseflow/daemon/HostProcesses.kt
@@ -32,13 +32,14 @@
 import kotlinx.coroutines.CoroutineExceptionHandler
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.SupervisorJob
+import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.runBlocking
 import kotlinx.coroutines.withContext
 import org.apache.logging.log4j.LogManager
 
-/** Time for a control host to transfer leadership before it stops. */
+/** Time for a control host to transfer leadership before it refuses orders. */
 private val LEADERSHIP_TRANSFER_TIME: Duration = 1.seconds
 
 /** Time for the orders in progress to be answered, which take the control group 3 s at most. */
@@ -203,10 +204,12 @@
     }
     signals.await()
     context.run {
-        host.transferLeadership()
         listener.isDraining = true
-        delay(LEADERSHIP_TRANSFER_TIME)
-        listener.drain(OPERATOR_DRAIN_TIME)
+        coroutineScope {
+            launch { host.leaveGroup() }
+            delay(LEADERSHIP_TRANSFER_TIME)
+            listener.drain(OPERATOR_DRAIN_TIME)
+        }
     }
     LogManager.shutdown()
     exitProcess(0)
--- a/daemon/src/main/kotlin/io/primroseflow/daemon/control/ControlHost.kt
+++ b/daemon/src/main/kotlin/io/primroseflow/daemon/control/ControlHost.kt
@@ -4,7 +4,9 @@
 import com.github.michaelbull.result.getOrElse
 import com.github.michaelbull.result.mapBoth
 import com.github.michaelbull.result.onFailure
+import io.primroseflow.consensus.DepartureStep
 import io.primroseflow.consensus.GroupAdmission
+import io.primroseflow.consensus.GroupDeparture
 import io.primroseflow.consensus.MemberHint
 import io.primroseflow.consensus.MembershipPlanner
 import io.primroseflow.consensus.MembershipSettings
@@ -72,6 +74,9 @@
 /** Interval between requests to join the control group. */
 private val JOIN_INTERVAL: Duration = 500.milliseconds
 
+/** Interval between requests to leave the control group. */
+private val LEAVE_INTERVAL: Duration = 100.milliseconds
+
 /**
  * Settings of a control host.
  *
@@ -120,6 +125,9 @@
     @Volatile
     private var isDiskFailing = false
 
+    /** The departure from the control group, once a stop was requested. */
+    private var departure: GroupDeparture? = null
+
     /**
      * Runs this host until cancelled or until its data folder is unusable.
      *
@@ -277,9 +285,23 @@
         page.addAdmission { running?.scheduler?.status?.admission }
     }
 
-    /** Transfers leadership to another replica, if this one leads, before a planned stop. */
-    fun transferLeadership() {
-        running?.replica?.transferLeadership()
+    /**
+     * Hands over the leadership and the vote of this host to other replicas, as far as there are
+     * any, before a planned stop. Returns after a time limit at the latest.
+     */
+    suspend fun leaveGroup() {
+        val started = GroupDeparture(clock.now()).also { departure = it }
+        while (true) {
+            val replica = running ?: return
+            when (val step = started.nextStep(replica.replica.status.group, clock.now())) {
+                DepartureStep.TransferLeadership -> replica.replica.transferLeadership()
+                is DepartureStep.AskLeader -> replica.send(step.leader, PeerMessage.LeaveRequest)
+                DepartureStep.Wait -> Unit
+                DepartureStep.Stop -> break
+            }
+            delay(LEAVE_INTERVAL)
+        }
+        log.info("group_left", "voter" to (running?.isVoter ?: false))
     }
 
     private fun initialIdentity(identityStore: ControlIdentityStore): ControlIdentity {
@@ -377,6 +399,8 @@
 
         override val isLeader: Boolean get() = replica.status.role == ReplicaRole.Leader
 
+        val isVoter: Boolean get() = self in replica.status.membership.voters
+
         override val leadership: Leadership
             get() {
                 val status = replica.status
@@ -426,6 +450,7 @@
             if (status.membership.voters.isNotEmpty()) {
                 client.replicas = status.membership.voters.toList()
             }
+            if (departure != null) return
             admission.hostsToAsk(status.group, clock.now())
                 .forEach { links.send(it, PeerMessage.JoinRequest) }
         }
@@ -457,6 +482,12 @@
                 is PeerMessage.MembersKnown ->
                     admission.onHint(MemberHint(message.leader, message.voters), clock.now())
 
+                PeerMessage.LeaveRequest -> replica.onLeaveRequest(from) {
+                    links.send(from, PeerMessage.Departure(it))
+                }
+
+                is PeerMessage.Departure -> departure?.onState(message.state)
+
                 is PeerMessage.HistoryQuestion ->
                     links.send(from, PeerMessage.HistoryAnswer(hasHistory(), message.call))
 
--- a/daemon/src/main/kotlin/io/primroseflow/daemon/control/ControlPlane.kt
+++ b/daemon/src/main/kotlin/io/primroseflow/daemon/control/ControlPlane.kt
@@ -166,10 +166,12 @@
 
             is PeerMessage.HistoryAnswer -> replica?.onHistoryAnswer(from, message)
 
-            // Hosts with fixed peers neither use a shared scheduler nor accept join requests.
+            // Hosts with fixed peers neither use a shared scheduler nor change the group at run time.
             is PeerMessage.Scheduling,
             PeerMessage.JoinRequest,
-            is PeerMessage.MembersKnown ->
+            is PeerMessage.MembersKnown,
+            PeerMessage.LeaveRequest,
+            is PeerMessage.Departure ->
                 log.debug("unexpected message from {}: {}", from, message)
         }
     }
--- a/daemon/src/main/kotlin/io/primroseflow/daemon/control/ReplicaTask.kt
+++ b/daemon/src/main/kotlin/io/primroseflow/daemon/control/ReplicaTask.kt
@@ -2,15 +2,16 @@
 
 import io.primroseflow.consensus.CommandBytes
 import io.primroseflow.consensus.ConfirmedRead
+import io.primroseflow.consensus.DepartureState
 import io.primroseflow.consensus.Effects
 import io.primroseflow.consensus.EntryContent
 import io.primroseflow.consensus.GroupView
 import io.primroseflow.consensus.HardState
-import io.primroseflow.consensus.Joiner
 import io.primroseflow.consensus.LogEntry
 import io.primroseflow.consensus.LogIndex
 import io.primroseflow.consensus.MemberChange
 import io.primroseflow.consensus.Membership
+import io.primroseflow.consensus.MembershipCoordinator
 import io.primroseflow.consensus.MembershipPlanner
 import io.primroseflow.consensus.ProposalError
 import io.primroseflow.consensus.ProposalResult
@@ -60,7 +61,9 @@
     data object TransferLeadership : ReplicaTaskMessage
     class HistoryAnswer(val from: HostId, val answer: PeerMessage.HistoryAnswer) :
         ReplicaTaskMessage
-    class JoinRequest(val joiner: Joiner) : ReplicaTaskMessage
+    class JoinRequest(val from: HostId) : ReplicaTaskMessage
+    class LeaveRequest(val from: HostId, val onState: (DepartureState) -> Unit) :
+        ReplicaTaskMessage
 }
 
 /** The reason why a replica task ends without being cancelled. */
@@ -96,12 +99,6 @@
  */
 private val START_DELAY: Duration = 600.milliseconds
 
-/** Interval at which the leader checks whether the membership should change. */
-private val MEMBERSHIP_CHECK_INTERVAL: Duration = 200.milliseconds
-
-/** Time after its last join request at which a joiner is removed. */
-private val JOINER_RETENTION: Duration = 10.seconds
-
 /** Maximum number of messages whose effects are written to the disk together. */
 private const val MAX_BATCH_MESSAGES = 1_024
 
@@ -187,8 +184,9 @@
     private val commands = HashMap<LogIndex, PendingCommand>()
     private val reads = HashMap<ReadId, PendingRead>()
     private val confirmedReads = ArrayList<ConfirmedRead>()
-    private val joiners = HashMap<HostId, Joiner>()
-    private var lastPlannedAt = Instant.DISTANT_PAST
+    private val coordinator = planner?.let { planner ->
+        MembershipCoordinator(replica, planner) { it.machine() }
+    }
     private var state = restoredState()
     private var appliedIndex = storage.restored.snapshot?.metadata?.index ?: LogIndex.ZERO
     private var lastReadNumber = 0L
@@ -229,7 +227,15 @@
 
     /** Enqueues a request of the replica [from] to join the group. */
     fun onJoinRequest(from: HostId) {
-        mailbox.trySend(ReplicaTaskMessage.JoinRequest(Joiner(from, from.machine(), clock.now())))
+        mailbox.trySend(ReplicaTaskMessage.JoinRequest(from))
+    }
+
+    /**
+     * Enqueues a request of the replica [from] to leave the group before a planned stop. [onState] is
+     * called with the state of its departure if this replica leads, and must not block.
+     */
+    fun onLeaveRequest(from: HostId, onState: (DepartureState) -> Unit) {
+        mailbox.trySend(ReplicaTaskMessage.LeaveRequest(from) { notify { onState(it) } })
     }
 
     /** Enqueues a transfer of leadership, which has an effect only while this replica leads. */
@@ -294,19 +300,8 @@
 
     /** Proposes the next planned membership change, if this replica leads. */
     private fun changeMembershipIfDue() {
-        val now = clock.now()
-        val views = replica.memberViews
-        if (planner == null || views == null ||
-            now - lastPlannedAt < MEMBERSHIP_CHECK_INTERVAL
-        ) {
-            return
-        }
-        lastPlannedAt = now
-        joiners.values.removeIf { now - it.lastRequestAt > JOINER_RETENTION }
-        val step =
-            planner.nextChangeOrNull(replica.membership, views, joiners.values, now) ?: return
-        val result = replica.proposeChange(step)
-        if (result is ProposalResult.Accepted) log.info("the group of replicas changes: {}", step)
+        val change = coordinator?.changeIfDue(clock.now()) ?: return
+        log.info("the group of replicas changes: {}", change)
     }
 
     private fun reportDiskLoss(reporter: HostId) {
@@ -332,7 +327,11 @@
 
             ReplicaTaskMessage.TransferLeadership -> replica.transferLeadership(clock.now())
 
-            is ReplicaTaskMessage.JoinRequest -> joiners[message.joiner.host] = message.joiner
+            is ReplicaTaskMessage.JoinRequest ->
+                coordinator?.onJoinRequest(message.from, clock.now())
+
+            is ReplicaTaskMessage.LeaveRequest ->
+                coordinator?.onLeaveRequest(message.from, clock.now())?.let(message.onState)
 
             is ReplicaTaskMessage.HistoryAnswer -> Unit
         }
--- a/daemon/src/main/kotlin/io/primroseflow/daemon/peer/PeerMessages.kt
+++ b/daemon/src/main/kotlin/io/primroseflow/daemon/peer/PeerMessages.kt
@@ -1,6 +1,7 @@
 package io.primroseflow.daemon.peer
 
 import io.primroseflow.consensus.CommandBytes
+import io.primroseflow.consensus.DepartureState
 import io.primroseflow.consensus.ReplicaMessage
 import io.primroseflow.control.AcceptedPolicy
 import io.primroseflow.control.ControlAnswer
@@ -410,6 +411,16 @@
         @SerialName("v") val voters: Set<HostId>
     ) : PeerMessage
 
+    /** The sender is a member of the control group and asks to leave it before a planned stop. */
+    @Serializable
+    @SerialName("leave")
+    data object LeaveRequest : PeerMessage
+
+    /** Answers a [LeaveRequest] to the leader. */
+    @Serializable
+    @SerialName("lft")
+    data class Departure(@SerialName("s") val state: DepartureState) : PeerMessage
+
     /** Host states spread by gossip. */
     @Serializable
     @SerialName("gos")
--- a/daemon/src/test/kotlin/io/primroseflow/daemon/control/ControlHostGroup.kt
+++ b/daemon/src/test/kotlin/io/primroseflow/daemon/control/ControlHostGroup.kt
@@ -82,6 +82,12 @@
             job = scope.launch { started.run() }
         }
 
+        /** Stops the host as planned. */
+        suspend fun stop() {
+            host?.leaveGroup()
+            kill()
+        }
+
         /** Ends the host without notice. */
         suspend fun kill() {
             job?.cancelAndJoin()
