--- a/core/src/test/kotlin/io/primroseflow/consensus/GroupSimulation.kt
+++ b/core/src/test/kotlin/io/primroseflow/consensus/GroupSimulation.kt
@@ -8,7 +8,6 @@
 import io.primroseflow.control.encodeCommand
 import io.primroseflow.control.toBytes
 import io.primroseflow.model.HostId
-import java.util.PriorityQueue
 import kotlin.random.Random
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
@@ -39,7 +38,7 @@
 internal class Violation(message: String) : AssertionError(message)
 
 /** The durable storage of one simulated host. */
-private class Disk {
+internal class Disk {
     var hardState = HardState()
     var snapshot: Snapshot? = null
     val entries = ArrayList<LogEntry>()
@@ -50,7 +49,7 @@
         entries += stored
     }
 
-    fun restore(bug: InjectedBug?): RestoredState {
+    fun restore(bug: InjectedBug? = null): RestoredState {
         if (bug == InjectedBug.LoseLastEntry) entries.removeLastOrNull()
         val base = snapshot?.metadata?.index ?: LogIndex.ZERO
         return RestoredState(hardState, snapshot, entries.filter { it.index > base })
@@ -256,17 +255,14 @@
     spares: Int,
     val bug: InjectedBug? = null
 ) {
-    private class Event(val at: Duration, val order: Long, val action: () -> Unit)
-
-    private val queue = PriorityQueue<Event>(compareBy<Event> { it.at }.thenBy { it.order })
+    private val virtualTime = VirtualTime()
     private val cuts = HashSet<Pair<HostId, HostId>>()
     private val leadersByTerm = HashMap<Term, HostId>()
     private val appliedEntries = HashMap<LogIndex, LogEntry>()
     private var ids = 0L
 
     val epoch: Instant = Instant.fromEpochSeconds(1_000_000)
-    var time: Duration = Duration.ZERO
-        private set
+    val time: Duration get() = virtualTime.now
 
     /** Probability that a message is lost. */
     var lossRate = 0.0
@@ -288,19 +284,9 @@
 
     fun nextId(): Long = ++ids
 
-    fun schedule(delay: Duration, action: () -> Unit) {
-        queue += Event(time + delay, nextId(), action)
-    }
+    fun schedule(delay: Duration, action: () -> Unit) = virtualTime.schedule(delay, action)
 
-    fun run(duration: Duration) {
-        val end = time + duration
-        while (queue.isNotEmpty() && queue.peek().at <= end) {
-            val event = queue.poll()
-            time = event.at
-            event.action()
-        }
-        time = end
-    }
+    fun run(duration: Duration) = virtualTime.run(duration)
 
     fun send(from: HostId, outgoing: OutgoingMessage) {
         if (random.nextDouble() < lossRate) return
