Spread the voters of the control group over the data centres

Cause: a voter that was silent or leaves was replaced by the first learner that had caught up, of any data centre, and nothing moved votes back. The handover of votes at a planned stop would have made this more frequent. Change: hosts tell their data centre in the first frame of a connection, so the leader knows that of each member that replies. Of the learners that can take a place, the one whose data centre has the fewest voters is promoted. If a data centre has at least two voters more than that of a learner, the learner is promoted first and a voter of the fuller data centre removed then, while all voters reply. Evidence: the simulation has data centres now and loses one after each history.

--- a/core/src/main/kotlin/io/primroseflow/consensus/MembershipPlanner.kt
+++ b/core/src/main/kotlin/io/primroseflow/consensus/MembershipPlanner.kt
@@ -1,7 +1,9 @@
 package io.primroseflow.consensus
 
+import io.primroseflow.model.DataCentreId
 import io.primroseflow.model.HostId
 import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 import kotlin.time.Instant
 
@@ -22,6 +24,9 @@
  */
 public data class Joiner(val host: HostId, val address: String, val lastRequestAt: Instant)
 
+/** Time without a reply of a voter after which voters are not moved to other data centres. */
+private val SPREAD_TIMEOUT: Duration = 500.milliseconds
+
 /** The hosts that ask to join, and those that ask to leave before a planned stop. */
 public data class MemberRequests(
     val joiners: List<Joiner> = emptyList(),
@@ -46,16 +51,20 @@
  *
  * A voter is removed only when a learner that has caught up can replace it, so that losing another
  * machine right after a repair loses no data. A voter that leaves still has its vote, so its
- * successor is promoted first. A replica that has lost its disk comes back under a
- * new host id. Its old id can never vote again, so that id is replaced before any other voter that
- * does not reply.
+ * successor is promoted first. A replica that has lost its disk comes back under a new host id. Its
+ * old id can never vote again, so that id is replaced before any other voter that does not reply.
+ *
+ * Voters are spread over the data centres as evenly as the learners allow, so that the loss of one
+ * data centre leaves a quorum.
  *
  * @param self host id of the leader
+ * @param dataCentreOf returns the data centre of a host id, `null` if it is unknown
  * @param addressOf returns the network address of a host id
  */
 public class MembershipPlanner(
     private val self: HostId,
     private val settings: MembershipSettings,
+    private val dataCentreOf: (HostId) -> DataCentreId? = { null },
     private val addressOf: (HostId) -> String
 ) {
     /**
@@ -73,9 +82,10 @@
         val leaving = requests.leaving
         val ready = membership.learners.filter { it !in leaving && isReady(views[it], now) }
         return addOrNull(membership, requests.joiners)
-            ?: releaseOrNull(membership, leaving, views, now)
+            ?: removeSurplusOrNull(membership, leaving, views, now)
             ?: promoteOrNull(membership, ready, leaving)
             ?: replaceOrNull(membership, ready, views, now)
+            ?: spreadOrNull(membership, ready, views, now)
             ?: removeLearnerOrNull(membership, views, requests.joiners, now)
     }
 
@@ -96,16 +106,28 @@
     private fun addOrNull(membership: Membership, joiners: List<Joiner>): MemberChange? =
         joiners.firstOrNull { it.host !in membership.all }?.let { MemberChange.AddLearner(it.host) }
 
-    /** Removes a voter that leaves if its successor has been promoted. */
-    private fun releaseOrNull(
+    /** Removes a voter whose successor has been promoted. */
+    private fun removeSurplusOrNull(
         membership: Membership,
         leaving: Set<HostId>,
         views: Map<HostId, MemberView>,
         now: Instant
     ): MemberChange? {
         if (membership.voters.size <= settings.voterCount) return null
-        return membership.voters.firstOrNull { it in leaving && it != self }
-            ?.let { removeOrNull(membership, it, views, now) }
+        val others = membership.voters - self
+        val removed = others.firstOrNull { it in leaving }
+            ?: others.firstOrNull { isSilent(views[it], settings.voterTimeout, now) }
+            ?: mostCrowdedOrNull(membership)
+            ?: return null
+        return removeOrNull(membership, removed, views, now)
+    }
+
+    /** Returns another voter than this one of the data centre with most voters, if it has several. */
+    private fun mostCrowdedOrNull(membership: Membership): HostId? {
+        val counts = votersByDataCentre(membership.voters)
+        val (dataCentre, count) = counts.maxByOrNull { it.value } ?: return null
+        if (count < 2) return null
+        return (membership.voters - self).firstOrNull { dataCentreOf(it) == dataCentre }
     }
 
     private fun promoteOrNull(
@@ -113,10 +135,36 @@
         ready: List<HostId>,
         leaving: Set<HostId>
     ): MemberChange? {
-        if ((membership.voters - leaving).size >= settings.voterCount) return null
-        return ready.firstOrNull()?.let { MemberChange.Promote(it) }
+        val staying = membership.voters - leaving
+        if (staying.size >= settings.voterCount) return null
+        val counts = votersByDataCentre(staying)
+        return ready.minByOrNull { counts[dataCentreOf(it)] ?: 0 }
+            ?.let { MemberChange.Promote(it) }
+    }
+
+    /**
+     * Promotes a learner whose data centre has at least two voters less than another one; a voter of
+     * that one is removed then. Waits until all voters reply, as a further voter costs a vote more.
+     */
+    private fun spreadOrNull(
+        membership: Membership,
+        ready: List<HostId>,
+        views: Map<HostId, MemberView>,
+        now: Instant
+    ): MemberChange? {
+        if (membership.voters.size != settings.voterCount) return null
+        val others = membership.voters - self
+        if (others.any { isSilent(views[it], SPREAD_TIMEOUT, now) }) return null
+        val counts = votersByDataCentre(membership.voters)
+        val highest = counts.values.maxOrNull() ?: return null
+        return ready.filter { dataCentreOf(it) != null }
+            .firstOrNull { (counts[dataCentreOf(it)] ?: 0) + 2 <= highest }
+            ?.let { MemberChange.Promote(it) }
     }
 
+    private fun votersByDataCentre(voters: Set<HostId>): Map<DataCentreId, Int> =
+        voters.mapNotNull(dataCentreOf).groupingBy { it }.eachCount()
+
     private fun replaceOrNull(
         membership: Membership,
         ready: List<HostId>,
--- a/core/src/test/kotlin/io/primroseflow/consensus/MembershipHistory.kt
+++ b/core/src/test/kotlin/io/primroseflow/consensus/MembershipHistory.kt
@@ -1,5 +1,6 @@
 package io.primroseflow.consensus
 
+import io.primroseflow.model.DataCentreId
 import io.primroseflow.model.HostId
 import kotlin.random.Random
 import kotlin.time.Duration
@@ -15,9 +16,11 @@
 
 private const val EVENTS = 12
 
+private val dataCentres = listOf("a", "b", "c").map(::DataCentreId)
+
 /**
- * A random series of lost disks, ends, planned stops and replacements of machines. At no time are
- * more machines lost than the group bears.
+ * A random series of lost disks, ends, planned stops and replacements of machines, and the loss of a
+ * data centre at its end. At no time are more machines lost than the group bears.
  */
 internal class MembershipHistory(seed: Int, fault: MembershipFault? = null) {
     private val random = Random(seed)
@@ -27,8 +30,10 @@
 
     /** Runs the history. Throws a [Violation] if something that was acknowledged is not readable. */
     fun run() {
-        val spare = random.nextInt(2)
-        val first = List(simulation.voters + spare) { simulation.addMachine() }
+        val spare = random.nextInt(4)
+        val first = List(simulation.voters + spare) {
+            simulation.addMachine(dataCentres[it % dataCentres.size])
+        }
         val seeds = first.take(3).map { HostId(it.address) }.toSet()
         first.forEach { it.start(seeds, isFirst = true) }
         simulation.run(8.seconds)
@@ -41,6 +46,10 @@
         }
         simulation.run(RECOVERY)
         checkServes()
+        val lost = dataCentres.random(random)
+        present().filter { it.dataCentre == lost }.forEach { it.kill() }
+        simulation.run(RECOVERY)
+        checkServes()
     }
 
     private fun checkServes() {
@@ -104,7 +113,7 @@
     private fun replace(count: Int) {
         val now = simulation.now
         val old = present().filter { (lostUntil[it] ?: now) <= now }.shuffled(random).take(count)
-        repeat(old.size) { simulation.addMachine().also { it.start(seeds()) } }
+        old.forEach { simulation.addMachine(it.dataCentre).start(seeds()) }
         simulation.run(CATCH_UP + random.nextInt(2_000).milliseconds)
         for (machine in old.filter { it.isRunning && (lostUntil[it] ?: now) <= simulation.now }) {
             removed += machine
--- a/core/src/test/kotlin/io/primroseflow/consensus/MembershipHistoryTest.kt
+++ b/core/src/test/kotlin/io/primroseflow/consensus/MembershipHistoryTest.kt
@@ -5,6 +5,7 @@
 import io.kotest.core.spec.style.DescribeSpec
 import io.kotest.matchers.nulls.shouldNotBeNull
 import io.kotest.matchers.shouldBe
+import io.primroseflow.model.DataCentreId
 import io.primroseflow.model.HostId
 import kotlin.random.Random
 import kotlin.time.Duration.Companion.seconds
@@ -45,7 +46,7 @@
         describe("a machine that is to stop while there is no leader") {
             it("stops within its grace") {
                 val simulation = MembershipSimulation(Random(1), tolerated = 1)
-                val machines = List(3) { simulation.addMachine() }
+                val machines = List(3) { simulation.addMachine(DataCentreId("a")) }
                 val seeds = machines.map { HostId(it.address) }.toSet()
                 machines.forEach { it.start(seeds, isFirst = true) }
                 simulation.run(5.seconds)
--- a/core/src/test/kotlin/io/primroseflow/consensus/MembershipPlannerTest.kt
+++ b/core/src/test/kotlin/io/primroseflow/consensus/MembershipPlannerTest.kt
@@ -2,6 +2,7 @@
 
 import io.kotest.core.spec.style.DescribeSpec
 import io.kotest.matchers.shouldBe
+import io.primroseflow.model.DataCentreId
 import io.primroseflow.model.HostId
 import kotlin.time.Duration.Companion.seconds
 import kotlin.time.Instant
@@ -14,14 +15,20 @@
 
 private val silent = MemberView(now - 10.seconds, isCaughtUp = true)
 
+private val dataCentres =
+    mapOf("a1" to "x", "b1" to "y", "c1" to "z", "a2" to "x", "c2" to "z")
+        .mapValues { DataCentreId(it.value) }
+
 private fun joiner(name: String) = Joiner(HostId(name), name.substringBefore('~'), now)
 
 class MembershipPlannerTest :
     DescribeSpec({
         val planner =
-            MembershipPlanner(HostId("a"), MembershipSettings(voterCount = 3)) {
-                it.value.substringBefore('~')
-            }
+            MembershipPlanner(
+                HostId("a"),
+                MembershipSettings(voterCount = 3),
+                { dataCentres[it.value] }
+            ) { it.value.substringBefore('~') }
 
         fun nextChange(
             voters: Set<HostId>,
@@ -126,6 +133,30 @@
             }
         }
 
+        // A voter was replaced by a learner of any data centre, and the loss of the one that then had
+        // two of three voters left the group without a quorum.
+        describe("voters in several data centres") {
+            val views = listOf("a1", "b1", "c1", "a2", "c2").associateWith { responsive }
+
+            it("are replaced by a learner of the data centre with the fewest voters") {
+                nextChange(hosts("a1", "b1"), hosts("a2", "c2"), views) shouldBe
+                    MemberChange.Promote(HostId("c2"))
+            }
+
+            it("are moved to a data centre that has none") {
+                nextChange(hosts("a1", "a2", "b1"), hosts("c2"), views) shouldBe
+                    MemberChange.Promote(HostId("c2"))
+                nextChange(hosts("a1", "a2", "b1", "c2"), hosts(), views) shouldBe
+                    MemberChange.Remove(HostId("a1"))
+                nextChange(hosts("a2", "b1", "c2"), hosts("a1"), views) shouldBe null
+            }
+
+            it("are not moved while one of them does not reply") {
+                val withSilent = views + ("b1" to MemberView(now - 1.seconds, isCaughtUp = true))
+                nextChange(hosts("a1", "a2", "b1"), hosts("c2"), withSilent) shouldBe null
+            }
+        }
+
         describe("a learner") {
             it("is removed when its machine joins under another host id") {
                 val views = mapOf(
--- a/core/src/test/kotlin/io/primroseflow/consensus/MembershipSimulation.kt
+++ b/core/src/test/kotlin/io/primroseflow/consensus/MembershipSimulation.kt
@@ -1,5 +1,6 @@
 package io.primroseflow.consensus
 
+import io.primroseflow.model.DataCentreId
 import io.primroseflow.model.HostId
 import kotlin.random.Random
 import kotlin.time.Duration
@@ -13,7 +14,10 @@
     SilentSeeds,
 
     /** Hosts that stop transfer their leadership only. */
-    KeptVotes
+    KeptVotes,
+
+    /** Successors of voters are chosen without regard to data centres. */
+    UnknownDataCentres
 }
 
 /** Time between two ticks of a process. */
@@ -38,7 +42,11 @@
  * A simulated machine of the control group. Its address stays the same; its disk, and with it the id
  * of its replica, may be lost. The state that the group keeps is the highest number written.
  */
-internal class SimulatedMachine(val address: String, private val simulation: MembershipSimulation) {
+internal class SimulatedMachine(
+    val address: String,
+    val dataCentre: DataCentreId,
+    private val simulation: MembershipSimulation
+) {
     /** A running process. */
     private inner class Process(val id: HostId, initialMembership: Membership, seeds: Set<HostId>) {
         private val replica = Replica(
@@ -52,7 +60,11 @@
         private val admission = GroupAdmission({ it.address() }) { seeds }
         private val coordinator = MembershipCoordinator(
             replica,
-            MembershipPlanner(id, MembershipSettings(simulation.voters)) { it.address() }
+            MembershipPlanner(
+                id,
+                MembershipSettings(simulation.voters),
+                simulation::dataCentreOf
+            ) { it.address() }
         ) { it.address() }
         private val writes = HashMap<LogIndex, Pair<Term, Long>>()
         private val reads = HashMap<ReadId, (Long) -> Unit>()
@@ -300,8 +312,14 @@
 
     fun run(duration: Duration) = virtualTime.run(duration)
 
-    fun addMachine(): SimulatedMachine =
-        SimulatedMachine("m${machines.size + 1}", this).also { machines += it }
+    fun addMachine(dataCentre: DataCentreId): SimulatedMachine =
+        SimulatedMachine("m${machines.size + 1}", dataCentre, this).also { machines += it }
+
+    /** Returns the data centre of [host] as a leader knows it. */
+    fun dataCentreOf(host: HostId): DataCentreId? = when (fault) {
+        MembershipFault.UnknownDataCentres -> null
+        else -> machines.first { it.address == host.address() }.dataCentre
+    }
 
     /** Returns the running leader of the highest term. */
     fun leaderOrNull(): SimulatedMachine? = machines.filter { it.isLeader }.maxByOrNull { it.term }
--- a/daemon/src/main/kotlin/io/primroseflow/daemon/control/ControlHost.kt
+++ b/daemon/src/main/kotlin/io/primroseflow/daemon/control/ControlHost.kt
@@ -353,10 +353,6 @@
         private val scope: CoroutineScope
     ) : SchedulerGroup {
         private val self = identity.host
-        private val planner =
-            MembershipPlanner(self, MembershipSettings(voterCount = settings.voters)) {
-                it.machine()
-            }
         val links: PeerLinks = PeerLinks(
             self = self,
             loop = loop,
@@ -364,8 +360,14 @@
             clock = clock,
             hybridClock = HybridClock(Clock.System),
             handler = ::handle,
-            resolve = { PeerAddress(it, settings.dataCentre, it.machine(), settings.peerPort) }
+            resolve = { PeerAddress(it, settings.dataCentre, it.machine(), settings.peerPort) },
+            dataCentre = settings.dataCentre
         )
+        private val planner = MembershipPlanner(
+            self,
+            MembershipSettings(voterCount = settings.voters),
+            links::dataCentreOf
+        ) { it.machine() }
         val replica: ReplicaTask = ReplicaTask(
             self = self,
             initialMembership = identity.initialMembership,
--- a/daemon/src/main/kotlin/io/primroseflow/daemon/peer/PeerLinks.kt
+++ b/daemon/src/main/kotlin/io/primroseflow/daemon/peer/PeerLinks.kt
@@ -8,6 +8,7 @@
 import io.primroseflow.daemon.socket.EventLoop
 import io.primroseflow.daemon.socket.ListeningSocket
 import io.primroseflow.daemon.socket.StreamSocket
+import io.primroseflow.model.DataCentreId
 import io.primroseflow.model.HostId
 import io.primroseflow.timeline.HybridClock
 import java.io.IOException
@@ -82,6 +83,7 @@
  * side opens a new one.
  *
  * @param loop owns the sockets and runs the coroutines that use them
+ * @param dataCentre data centre of this host, which it tells the hosts that it dials
  * @param onLost called when a connection to a host has failed or could not be opened
  * @param resolve returns the address of a host that [updateAddresses] has not set
  */
@@ -92,11 +94,13 @@
     private val clock: Clock,
     private val hybridClock: HybridClock,
     private val resolve: (HostId) -> PeerAddress? = { null },
+    private val dataCentre: DataCentreId? = null,
     private val onLost: (HostId) -> Unit = {},
     private val handler: PeerHandler
 ) : AutoCloseable {
     private val log = LogManager.getLogger(PeerLinks::class.java)
     private val links = ConcurrentHashMap<HostId, PeerLink>()
+    private val dataCentres = ConcurrentHashMap<String, DataCentreId>()
     private var listening: ListeningSocket? = null
 
     @Volatile
@@ -105,6 +109,10 @@
     /** Counters of all traffic so far. */
     val traffic: PeerTraffic = PeerTraffic()
 
+    /** Returns the data centre of [host] if it has told it on a connection, else `null`. */
+    fun dataCentreOf(host: HostId): DataCentreId? =
+        if (host == self) dataCentre else dataCentres[host.machine()]
+
     /** Replaces the known addresses of the other hosts. */
     fun updateAddresses(peers: Collection<PeerAddress>) {
         addresses = peers.associateBy { it.host }
@@ -186,7 +194,9 @@
             socket.stallTimeout = RESPONSE_TIMEOUT
             val output = socket.output
             val input = socket.input
-            write(output, PeerFrame.Hello(PROTOCOL_VERSION, self, to, hybridClock.next()))
+            val hello =
+                PeerFrame.Hello(PROTOCOL_VERSION, self, to, hybridClock.next(), dataCentre)
+            write(output, hello)
             val pongs = Channel<Long>(Channel.CONFLATED)
             val reader = launch {
                 while (true) {
@@ -275,6 +285,7 @@
             )
         }
         hybridClock.observe(hello.at)
+        hello.dataCentre?.let { dataCentres[hello.from.machine()] = it }
         while (true) {
             val bytes =
                 withTimeoutOrNull(IDLE_TIMEOUT + RESPONSE_TIMEOUT) { input.readFrameBytes() }
--- a/daemon/src/main/kotlin/io/primroseflow/daemon/peer/PeerMessages.kt
+++ b/daemon/src/main/kotlin/io/primroseflow/daemon/peer/PeerMessages.kt
@@ -445,11 +445,17 @@
      *
      * @property version protocol version of the sender, see [PROTOCOL_VERSION]
      * @property at hybrid logical time of sending
+     * @property dataCentre data centre of the dialling host, `null` if it does not tell
      */
     @Serializable
     @SerialName("hi")
-    data class Hello(val version: Int, val from: HostId, val to: HostId, val at: HybridTime) :
-        PeerFrame
+    data class Hello(
+        val version: Int,
+        val from: HostId,
+        val to: HostId,
+        val at: HybridTime,
+        val dataCentre: DataCentreId? = null
+    ) : PeerFrame
 
     /** Carries messages sent at the hybrid logical time [at]. */
     @Serializable
