Let a first start go on after a seed has lost its disk

Cause: a replica of a first start waits until each other initial voter has answered that it has no history. A seed that has lost its disk answers under the id of its new disk, which was not among the ids that were waited for. Change: an answer counts for the machine that gives it. That is as safe as before: the question guards against a second vote of a replica that has voted and lost its disk; if its votes are known to no other seed but one that has lost its disk too, two disks were lost before the first replica had joined again. Evidence: the new case of DiskLossTest failed on the untouched code (no end within 20 s) and passes now.

--- a/daemon/src/main/kotlin/io/primroseflow/daemon/control/ReplicaTask.kt
+++ b/daemon/src/main/kotlin/io/primroseflow/daemon/control/ReplicaTask.kt
@@ -268,18 +268,19 @@
      * Waits until it is certain that this replica has never voted.
      *
      * A voter with an empty data folder may have lost its disk and must not vote again under the
-     * same host id. It therefore takes part only if no other initial voter has any history.
-     * If one has, the replica keeps waiting, or ends if it has a planner. A replica that is not an
+     * same host id. It therefore takes part only if no other initial voter has any history; one that
+     * has lost its disk meanwhile answers under the id of its new disk. If one has history, the replica keeps waiting, or ends if it has a planner. A replica that is not an
      * initial voter need not ask the others.
      *
      * @return `false` if the group has history and this replica may join it under a new host id
      */
     private suspend fun confirmNeverVoted(): Boolean {
         val others = initialMembership.voters - self
-        val withoutHistory = HashSet<HostId>()
+        val machines = others.map { it.machine() }
+        val withoutHistory = HashSet<String>()
         // An answer to a former process may date from before the group had any history.
         val call = CallIds(random).next()
-        while (self in initialMembership.voters && !withoutHistory.containsAll(others)) {
+        while (self in initialMembership.voters && !withoutHistory.containsAll(machines)) {
             others.forEach { listener.askForHistory(it, call) }
             val answer = withTimeoutOrNull(HISTORY_QUERY_INTERVAL) { mailbox.receive() }
             if (answer is ReplicaTaskMessage.Query) answer.onReply(ControlReply.NotLeader(null))
@@ -287,7 +288,7 @@
             if (answer.answer.hasHistory) {
                 reportDiskLoss(answer.from)
             } else {
-                withoutHistory += answer.from
+                withoutHistory += answer.from.machine()
             }
             if (isDiskLost && planner != null) return false
         }
--- a/daemon/src/test/kotlin/io/primroseflow/daemon/control/DiskLossTest.kt
+++ b/daemon/src/test/kotlin/io/primroseflow/daemon/control/DiskLossTest.kt
@@ -17,11 +17,16 @@
 import java.util.concurrent.ConcurrentLinkedQueue
 import kotlin.random.Random
 import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
 import kotlinx.coroutines.Dispatchers
 import kotlinx.coroutines.cancelAndJoin
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.runBlocking
+import kotlinx.coroutines.withTimeout
+
+/** Time after which a test counts as hung. */
+private val TEST_TIMEOUT = 20.seconds
 
 private val self = HostId("a")
 
@@ -40,25 +45,52 @@
     override fun onPolicy(policy: AcceptedPolicy) = Unit
 }
 
+/** Runs [test] with a replica of the first start whose disk is empty. */
+private fun whileStarting(test: suspend (ReplicaTask, QuestionListener) -> Unit) {
+    val folder = Files.createTempDirectory("replica")
+    val storage = ReplicaStorage.open(DiskFolder(folder)).unwrap()
+    val listener = QuestionListener()
+    val task = ReplicaTask(
+        self = self,
+        initialMembership = Membership((others + self).toSet()),
+        storage = storage,
+        clock = MonotonicClock(),
+        listener = listener,
+        random = Random(2)
+    )
+    runBlocking(Dispatchers.Default) {
+        val running = launch { task.run() }
+        withTimeout(TEST_TIMEOUT) { test(task, listener) }
+        running.cancelAndJoin()
+    }
+    storage.close()
+    folder.toFile().deleteRecursively()
+}
+
 class DiskLossTest :
     DescribeSpec({
+        // A seed that lost its disk before the others had its answer answered under a new id, and
+        // the others waited for it for good, so the group never formed.
+        describe("a replica of a first start") {
+            it("takes part if another one answers after the loss of its disk") {
+                whileStarting { task, listener ->
+                    while (task.isWaitingToJoin) {
+                        val call = listener.questions.firstOrNull()
+                        val answering = listOf(HostId("b~0a1b2c3d"), HostId("c"))
+                        if (call != null) {
+                            answering.forEach { task.onHistoryAnswer(it, answerTo(call)) }
+                        }
+                        delay(20.milliseconds)
+                    }
+                }
+            }
+        }
+
         describe("a replica with an empty disk") {
             // Two votes in one term: a replica that has lost its disk took answers to the first
             // start of its host, when there was no history yet, for answers to its own question.
             it("does not take part by answers to the questions of a former process") {
-                val folder = Files.createTempDirectory("replica")
-                val storage = ReplicaStorage.open(DiskFolder(folder)).unwrap()
-                val listener = QuestionListener()
-                val task = ReplicaTask(
-                    self = self,
-                    initialMembership = Membership((others + self).toSet()),
-                    storage = storage,
-                    clock = MonotonicClock(),
-                    listener = listener,
-                    random = Random(2)
-                )
-                runBlocking(Dispatchers.Default) {
-                    val running = launch { task.run() }
+                whileStarting { task, listener ->
                     others.forEach { task.onHistoryAnswer(it, answerTo(CallId(1))) }
                     others.forEach { task.onHistoryAnswer(it, answerTo(null)) }
                     delay(1_000.milliseconds)
@@ -66,10 +98,7 @@
                     val call = listener.questions.firstOrNull().shouldNotBeNull()
                     others.forEach { task.onHistoryAnswer(it, answerTo(call)) }
                     while (task.isWaitingToJoin) delay(20.milliseconds)
-                    running.cancelAndJoin()
                 }
-                storage.close()
-                folder.toFile().deleteRecursively()
             }
         }
     })
