Send each host only the latest policy, once, from one shared frame

Cause: the leader queued the whole policy for each host at each change, and again with each answer to a report until the host had it. Up to 128 of them were encoded into one frame, each link with a copy of its own, and copied twice more on the way to the socket. Change: of the policies that wait for a link only the latest is kept. A policy has a frame of its own, which is encoded once for all links and passed to the sockets without a copy. A policy is not sent twice within 5 s on one connection; a new connection, or that time, allows it again. Evidence: two new cases of PeerLinksTest failed on the untouched code (20 policies instead of 1; 50 instead of the latest) and pass now; that a policy goes again on a new connection held before.

--- a/daemon/src/main/kotlin/io/primroseflow/daemon/peer/PeerFrames.kt
+++ b/daemon/src/main/kotlin/io/primroseflow/daemon/peer/PeerFrames.kt
@@ -1,11 +1,9 @@
 package io.primroseflow.daemon.peer
 
 import io.ktor.utils.io.ByteReadChannel
-import io.ktor.utils.io.ByteWriteChannel
 import io.ktor.utils.io.readByteArray
 import io.ktor.utils.io.readInt
-import io.ktor.utils.io.writeFully
-import io.ktor.utils.io.writeInt
+import java.nio.ByteBuffer
 import kotlinx.serialization.ExperimentalSerializationApi
 import kotlinx.serialization.cbor.Cbor
 
@@ -37,14 +35,9 @@
 internal fun decodeFrame(bytes: ByteArray): PeerFrame =
     peerCbor.decodeFromByteArray(PeerFrame.serializer(), bytes)
 
-/** Writes [frame], preceded by its length, and returns the number of bytes written. */
-internal suspend fun ByteWriteChannel.writeFrame(frame: PeerFrame): Int {
-    val bytes = encodeFrame(frame)
-    writeInt(bytes.size)
-    writeFully(bytes)
-    flush()
-    return bytes.size + LENGTH_BYTES
-}
+/** Returns the length that precedes [frame] on a connection. */
+internal fun lengthOf(frame: ByteArray): ByteArray =
+    ByteBuffer.allocate(LENGTH_BYTES).putInt(frame.size).array()
 
 /**
  * Reads the next frame.
--- a/daemon/src/main/kotlin/io/primroseflow/daemon/peer/PeerLinks.kt
+++ b/daemon/src/main/kotlin/io/primroseflow/daemon/peer/PeerLinks.kt
@@ -1,7 +1,8 @@
 package io.primroseflow.daemon.peer
 
 import io.ktor.utils.io.ByteReadChannel
-import io.ktor.utils.io.ByteWriteChannel
+import io.primroseflow.control.AcceptedPolicy
+import io.primroseflow.control.PolicyRevision
 import io.primroseflow.daemon.PeerAddress
 import io.primroseflow.daemon.contain
 import io.primroseflow.daemon.containStep
@@ -14,6 +15,7 @@
 import java.io.IOException
 import java.util.concurrent.ConcurrentHashMap
 import java.util.concurrent.atomic.AtomicLong
+import java.util.concurrent.atomic.AtomicReference
 import kotlin.time.Clock
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
@@ -50,6 +52,9 @@
 /** Delay after a connection has ended before the host is dialled again. */
 private val REDIAL_DELAY: Duration = 200.milliseconds
 
+/** Time after which a policy is sent again on a connection if it is asked for. */
+private val POLICY_RESEND_DELAY: Duration = 5.seconds
+
 /** Time without a message after which a connection is closed until the next message. */
 private val IDLE_TIMEOUT: Duration = 30.seconds
 
@@ -103,6 +108,10 @@
     private val dataCentres = ConcurrentHashMap<String, DataCentreId>()
     private var listening: ListeningSocket? = null
 
+    /** The policy that was sent last, with its encoded frame. */
+    @Volatile
+    private var policyFrame: Pair<AcceptedPolicy, ByteArray>? = null
+
     @Volatile
     private var addresses: Map<HostId, PeerAddress> = emptyMap()
 
@@ -192,11 +201,10 @@
     private suspend fun runSession(to: HostId, socket: StreamSocket, link: PeerLink) =
         coroutineScope {
             socket.stallTimeout = RESPONSE_TIMEOUT
-            val output = socket.output
             val input = socket.input
             val hello =
                 PeerFrame.Hello(PROTOCOL_VERSION, self, to, hybridClock.next(), dataCentre)
-            write(output, hello)
+            write(socket, hello)
             val pongs = Channel<Long>(Channel.CONFLATED)
             val reader = launch {
                 while (true) {
@@ -204,7 +212,7 @@
                     pong?.let { pongs.send(it.number) }
                 }
             }
-            writeMessages(output, link, pongs)
+            writeMessages(socket, link, pongs)
             reader.cancel()
             coroutineContext.cancelChildren()
         }
@@ -217,11 +225,8 @@
      * @throws IOException if a ping is not answered or a write makes no progress within
      *   [RESPONSE_TIMEOUT]
      */
-    private suspend fun writeMessages(
-        output: ByteWriteChannel,
-        link: PeerLink,
-        pongs: Channel<Long>
-    ) {
+    private suspend fun writeMessages(socket: StreamSocket, link: PeerLink, pongs: Channel<Long>) {
+        val policies = SentPolicies(clock)
         var ping = 0L
         var lastPingAt = Instant.DISTANT_PAST
         var isAnswered = true
@@ -229,7 +234,7 @@
             val wait = if (isAnswered) IDLE_TIMEOUT else PING_INTERVAL
             val messages = withTimeoutOrNull(wait) { link.takeBatch() }
             if (messages == null && isAnswered) return
-            if (messages != null) writeBatch(output, messages)
+            if (messages != null) writeBatch(socket, messages, policies)
             if (!isAnswered) isAnswered = pongs.tryReceive().getOrNull() == ping
             val now = clock.now()
             if (!isAnswered &&
@@ -238,30 +243,54 @@
                 throw IOException("no pong from the other host")
             }
             if (isAnswered && messages != null && now - lastPingAt >= PING_INTERVAL) {
-                write(output, PeerFrame.Ping(++ping))
+                write(socket, PeerFrame.Ping(++ping))
                 lastPingAt = now
                 isAnswered = false
             }
         }
     }
 
-    private suspend fun writeBatch(output: ByteWriteChannel, messages: List<PeerMessage>) {
+    private suspend fun writeBatch(
+        socket: StreamSocket,
+        messages: List<PeerMessage>,
+        policies: SentPolicies
+    ) {
+        val policy = (messages.singleOrNull() as? PeerMessage.PolicyPush)?.policy
+        if (policy != null && !policies.isDue(policy)) return
         traffic.sentMessages.addAndGet(messages.size.toLong())
-        write(output, PeerFrame.Batch(hybridClock.next(), messages))
+        if (policy == null) {
+            write(socket, PeerFrame.Batch(hybridClock.next(), messages))
+        } else {
+            write(socket, frameOf(policy))
+            policies.onSent(policy)
+        }
+    }
+
+    /** Returns the encoded frame of [policy], which all connections share. */
+    private fun frameOf(policy: AcceptedPolicy): ByteArray {
+        policyFrame?.let { (encoded, bytes) -> if (encoded === policy) return bytes }
+        val messages = listOf(PeerMessage.PolicyPush(policy))
+        val bytes = encodeFrame(PeerFrame.Batch(hybridClock.next(), messages))
+        policyFrame = policy to bytes
+        return bytes
     }
 
     private suspend fun readFrameWithin(input: ByteReadChannel, limit: Duration): PeerFrame =
         withTimeoutOrNull(limit) { input.readFrame() }
             ?: throw IOException("no frame within $limit")
 
-    private suspend fun write(output: ByteWriteChannel, frame: PeerFrame) {
-        traffic.sentBytes.addAndGet(output.writeFrame(frame).toLong())
+    private suspend fun write(socket: StreamSocket, frame: PeerFrame) =
+        write(socket, encodeFrame(frame))
+
+    private suspend fun write(socket: StreamSocket, frame: ByteArray) {
+        socket.write(lengthOf(frame), frame)
+        traffic.sentBytes.addAndGet((LENGTH_BYTES + frame.size).toLong())
     }
 
     private suspend fun serve(socket: StreamSocket) {
         socket.stallTimeout = RESPONSE_TIMEOUT
         try {
-            socket.use { serveConnection(it.input, it.output) }
+            socket.use { serveConnection(it) }
         } catch (e: IOException) {
             log.debug("incoming connection failed: {}", e.toString())
         } catch (e: SerializationException) {
@@ -271,7 +300,8 @@
         }
     }
 
-    private suspend fun serveConnection(input: ByteReadChannel, output: ByteWriteChannel) {
+    private suspend fun serveConnection(socket: StreamSocket) {
+        val input = socket.input
         val hello = readFrameWithin(input, RESPONSE_TIMEOUT) as? PeerFrame.Hello
             ?: throw PeerProtocolException("the first frame is not a Hello frame")
         if (hello.version != PROTOCOL_VERSION) {
@@ -295,7 +325,7 @@
                 decodeFrame(bytes)
             } ?: continue
             receive(hello, frame)
-            if (frame is PeerFrame.Ping) write(output, PeerFrame.Pong(frame.number))
+            if (frame is PeerFrame.Ping) write(socket, PeerFrame.Pong(frame.number))
         }
     }
 
@@ -313,12 +343,36 @@
     }
 }
 
-/** The queue of messages to one host. */
+/** The policies that were sent on one connection. */
+private class SentPolicies(private val clock: Clock) {
+    private var revision = PolicyRevision.NONE
+    private var sentAt = Instant.DISTANT_PAST
+
+    /** Returns `false` if [policy] or a later one was sent and the other host may not have it yet. */
+    fun isDue(policy: AcceptedPolicy): Boolean =
+        policy.head.revision > revision || clock.now() - sentAt > POLICY_RESEND_DELAY
+
+    fun onSent(policy: AcceptedPolicy) {
+        revision = policy.head.revision
+        sentAt = clock.now()
+    }
+}
+
+/**
+ * The queue of messages to one host. Of the policies that wait, only the one of the highest revision
+ * is kept, since each replaces those before it and may be large.
+ */
 private class PeerLink {
-    private val queue = Channel<PeerMessage>(QUEUE_CAPACITY, BufferOverflow.DROP_OLDEST)
+    private val policy = AtomicReference<PeerMessage.PolicyPush>()
+    private val queue =
+        Channel<PeerMessage>(QUEUE_CAPACITY, BufferOverflow.DROP_OLDEST, ::onDropped)
     private var first: PeerMessage? = null
 
     fun offer(message: PeerMessage) {
+        if (message is PeerMessage.PolicyPush) {
+            val waiting = policy.getAndUpdate { later(it, message) }
+            if (waiting != null) return
+        }
         queue.trySend(message)
     }
 
@@ -327,16 +381,36 @@
     }
 
     fun discardAll() {
+        first?.let(::onDropped)
         first = null
-        while (queue.tryReceive().isSuccess) Unit
+        while (true) onDropped(queue.tryReceive().getOrNull() ?: return)
     }
 
+    /** Returns the next messages; a policy comes alone. */
     suspend fun takeBatch(): List<PeerMessage> {
         awaitMessage()
         val batch = ArrayList<PeerMessage>()
-        first?.let { batch += it }
-        first = null
-        while (batch.size < MAX_BATCH_MESSAGES) batch += queue.tryReceive().getOrNull() ?: break
+        while (batch.size < MAX_BATCH_MESSAGES) {
+            val next = first ?: queue.tryReceive().getOrNull() ?: break
+            first = null
+            when {
+                next !is PeerMessage.PolicyPush -> batch += next
+
+                batch.isEmpty() -> return listOf(policy.getAndSet(null) ?: next)
+
+                else -> {
+                    first = next
+                    break
+                }
+            }
+        }
         return batch
     }
+
+    private fun onDropped(message: PeerMessage) {
+        if (message is PeerMessage.PolicyPush) policy.set(null)
+    }
+
+    private fun later(a: PeerMessage.PolicyPush?, b: PeerMessage.PolicyPush) =
+        if (a == null || b.policy.head.revision > a.policy.head.revision) b else a
 }
--- a/daemon/src/main/kotlin/io/primroseflow/daemon/socket/StreamSocket.kt
+++ b/daemon/src/main/kotlin/io/primroseflow/daemon/socket/StreamSocket.kt
@@ -189,6 +189,58 @@
         }
     }
 
+    /**
+     * Sends [parts] in their order and waits until the socket takes further bytes. The parts must not
+     * change afterwards.
+     *
+     * @throws IOException if the connection has ended or is aborted by [stallTimeout]
+     */
+    suspend fun write(vararg parts: ByteArray) {
+        throwIfClosed()
+        for (part in parts) {
+            for (start in part.indices step OUTPUT_PART_BYTES) {
+                val size = minOf(OUTPUT_PART_BYTES, part.size - start)
+                channel.write(Unpooled.wrappedBuffer(part, start, size)).addListener { future ->
+                    future.cause()?.let { fail(it as? IOException ?: IOException(it)) }
+                }
+            }
+        }
+        channel.flush()
+        awaitWritable()
+        throwIfClosed()
+    }
+
+    private suspend fun awaitWritable() {
+        while (!channel.isWritable && channel.isActive) {
+            val waiting = bytesToWrite()
+            val limit = stallTimeout
+            if (limit == null) {
+                awaitWake()
+            } else if (withTimeoutOrNull(limit) { awaitWake() } == null &&
+                bytesToWrite() == waiting
+            ) {
+                abort()
+                throw IOException("the peer has taken no bytes for $limit")
+            }
+        }
+    }
+
+    private suspend fun awaitWake() = suspendCancellableCoroutine { continuation ->
+        writer = continuation
+        continuation.invokeOnCancellation {
+            if (writer === continuation) writer = null
+        }
+    }
+
+    /** Returns the number of bytes that the system has not taken over yet. */
+    private fun bytesToWrite(): Long =
+        channel.unsafe().outboundBuffer()?.totalPendingWriteBytes() ?: 0
+
+    private fun throwIfClosed() {
+        failure?.let { throw it }
+        if (isClosing || !channel.isActive) throw IOException("the connection is closed")
+    }
+
     private inner class Input : ByteReadChannel {
         override val closedCause: Throwable? get() = failure
 
@@ -232,54 +284,14 @@
         override suspend fun flush() {
             throwIfClosed()
             if (pending.exhausted()) return
-            val bytes = pending.readByteArray()
-            for (start in bytes.indices step OUTPUT_PART_BYTES) {
-                val size = minOf(OUTPUT_PART_BYTES, bytes.size - start)
-                channel.write(Unpooled.wrappedBuffer(bytes, start, size)).addListener { future ->
-                    future.cause()?.let { fail(it as? IOException ?: IOException(it)) }
-                }
-            }
-            channel.flush()
-            awaitWritable()
-            throwIfClosed()
-        }
-
-        private suspend fun awaitWritable() {
-            while (!channel.isWritable && channel.isActive) {
-                val waiting = bytesToWrite()
-                val limit = stallTimeout
-                if (limit == null) {
-                    awaitWake()
-                } else if (withTimeoutOrNull(limit) { awaitWake() } == null &&
-                    bytesToWrite() == waiting
-                ) {
-                    abort()
-                    throw IOException("the peer has taken no bytes for $limit")
-                }
-            }
-        }
-
-        private suspend fun awaitWake() = suspendCancellableCoroutine { continuation ->
-            writer = continuation
-            continuation.invokeOnCancellation {
-                if (writer === continuation) writer = null
-            }
+            write(pending.readByteArray())
         }
 
-        /** Returns the number of bytes that the system has not taken over yet. */
-        private fun bytesToWrite(): Long =
-            channel.unsafe().outboundBuffer()?.totalPendingWriteBytes() ?: 0
-
         override suspend fun flushAndClose() {
             flush()
             close()
         }
 
         override fun cancel(cause: Throwable?) = close()
-
-        private fun throwIfClosed() {
-            failure?.let { throw it }
-            if (isClosedForWrite) throw IOException("the connection is closed")
-        }
     }
 }
--- a/daemon/src/test/kotlin/io/primroseflow/daemon/peer/PeerLinksTest.kt
+++ b/daemon/src/test/kotlin/io/primroseflow/daemon/peer/PeerLinksTest.kt
@@ -10,7 +10,11 @@
 import io.primroseflow.consensus.ReplicaMessage
 import io.primroseflow.consensus.SnapshotMetadata
 import io.primroseflow.consensus.Term
+import io.primroseflow.control.AcceptedPolicy
+import io.primroseflow.control.OperationId
+import io.primroseflow.control.PolicyHead
 import io.primroseflow.control.PolicyRevision
+import io.primroseflow.control.PolicySource
 import io.primroseflow.daemon.MonotonicClock
 import io.primroseflow.daemon.PeerAddress
 import io.primroseflow.daemon.awaitTrue
@@ -18,6 +22,7 @@
 import io.primroseflow.model.DataCentreId
 import io.primroseflow.model.HostId
 import io.primroseflow.timeline.HybridClock
+import java.net.ServerSocket
 import java.net.Socket
 import java.util.concurrent.CopyOnWriteArrayList
 import kotlin.time.Clock
@@ -35,6 +40,13 @@
 private fun address(host: HostId, port: Int) =
     PeerAddress(host, DataCentreId("here"), "127.0.0.1", port)
 
+private fun policy(revision: Long) = PeerMessage.PolicyPush(
+    AcceptedPolicy(
+        PolicyHead(PolicyRevision(revision), OperationId("o$revision"), "operator", 1_000),
+        PolicySource("document", "text")
+    )
+)
+
 /** A message that the handler of a [TestPeer] fails on. */
 private val oddMessage = message(-1)
 
@@ -162,6 +174,54 @@
                 }
             }
 
+            // Each change of a large policy was queued, encoded and sent to each host as a whole, and
+            // again with each report until the host had it, until the leader ran out of memory.
+            it("carries only the latest of the policies that wait") {
+                TestPeer(a).use { from ->
+                    TestPeer(b).use { to ->
+                        val port = ServerSocket(0).use { it.localPort }
+                        from.links.updateAddresses(listOf(address(b, port)))
+                        (1L..50L).forEach { from.links.send(b, policy(it)) }
+                        from.links.send(b, message(1))
+                        to.links.listen("127.0.0.1", port)
+                        awaitTrue { message(1) in to.received }
+                        to.received.toList() shouldBe listOf(policy(50), message(1))
+                    }
+                }
+            }
+
+            it("carries a policy that it has carried just before only once") {
+                TestPeer(a).use { from ->
+                    TestPeer(b).use { to ->
+                        val port = to.links.listen("127.0.0.1", 0)
+                        from.links.updateAddresses(listOf(address(b, port)))
+                        for (number in 1L..20L) {
+                            from.links.send(b, policy(1))
+                            from.links.send(b, message(number))
+                            awaitTrue { message(number) in to.received }
+                        }
+                        to.received.count { it is PeerMessage.PolicyPush } shouldBe 1
+                    }
+                }
+            }
+
+            it("carries a policy again on a new connection") {
+                TestPeer(a).use { from ->
+                    TestPeer(b).use { to ->
+                        BlackholeProxy(to.links.listen("127.0.0.1", 0)).use { proxy ->
+                            from.links.updateAddresses(listOf(address(b, proxy.localPort)))
+                            from.links.send(b, message(1))
+                            awaitTrue { to.received.isNotEmpty() }
+                            proxy.blackhole()
+                            awaitTrue {
+                                from.links.send(b, policy(1))
+                                policy(1) in to.received
+                            }
+                        }
+                    }
+                }
+            }
+
             it("still works if another connection sends malformed frames") {
                 TestPeer(a).use { from ->
                     TestPeer(b).use { to ->
