Let a host that lost its disk find the group by what is sent to its former id

Cause: a host with an empty disk knows its seeds alone, and the settings that it was given named hosts that were gone. Change: the leader goes on to send to the former id of the host. The host does not act on that, but asks the sender to admit it. In the simulation a quarter of the lost disks come back with seeds that are gone.

--- a/core/src/main/kotlin/io/primroseflow/consensus/GroupAdmission.kt
+++ b/core/src/main/kotlin/io/primroseflow/consensus/GroupAdmission.kt
@@ -35,7 +35,8 @@
  *
  * Only the leader can admit a replica, and a new one knows its seeds alone, which need not lead.
  * Each host that is asked but does not lead therefore answers with a [MemberHint], and the hosts
- * named there are asked too.
+ * named there are asked too. A host that has lost its disk is also found by the members, which go on
+ * to send messages to its former id; they count as named.
  *
  * @param addressOf returns the network address of a host id
  * @param seeds returns hosts that may be members
@@ -55,7 +56,7 @@
             .filter { addressOf(it) != addressOf(view.self) }
     }
 
-    /** Handles the [hint] of a host that was asked. */
+    /** Handles a [hint] at members of the group. */
     public fun onHint(hint: MemberHint, now: Instant) {
         (hint.voters + listOfNotNull(hint.leader)).forEach { hintedAt[it] = now }
     }
--- a/core/src/test/kotlin/io/primroseflow/consensus/MembershipHistory.kt
+++ b/core/src/test/kotlin/io/primroseflow/consensus/MembershipHistory.kt
@@ -88,9 +88,11 @@
     private fun seeds(): Set<HostId> = present().filter { !it.isLeader }.shuffled(random).take(3)
         .map { HostId(it.address) }.toSet()
 
+    private fun goneSeeds() = removed.map { HostId(it.address) }.toSet()
+
     private fun loseDisk(machine: SimulatedMachine) {
         machine.loseDisk()
-        startLater(machine)
+        startLater(machine, if (random.nextInt(4) == 0) goneSeeds() else seeds())
     }
 
     private fun restart(machine: SimulatedMachine) {
@@ -103,10 +105,10 @@
         machine.stop { startLater(machine) }
     }
 
-    private fun startLater(machine: SimulatedMachine) {
+    private fun startLater(machine: SimulatedMachine, known: Set<HostId> = seeds()) {
         val away = random.nextInt(100, 1_500).milliseconds
         lostUntil[machine] = simulation.now + away + CATCH_UP
-        simulation.schedule(away) { machine.start(seeds()) }
+        simulation.schedule(away) { machine.start(known) }
     }
 
     /** Replaces [count] machines as planned, the new ones first, and stops the old ones in series. */
--- a/core/src/test/kotlin/io/primroseflow/consensus/MembershipSimulation.kt
+++ b/core/src/test/kotlin/io/primroseflow/consensus/MembershipSimulation.kt
@@ -112,7 +112,11 @@
         fun onDeparture(state: DepartureState) = departure?.onState(state)
 
         fun receive(from: HostId, to: HostId, message: ReplicaMessage) {
-            if (to == id) step { replica.receive(from, message, simulation.now) }
+            if (to == id) {
+                step { replica.receive(from, message, simulation.now) }
+            } else if (simulation.fault != MembershipFault.SilentSeeds) {
+                onHint(MemberHint(leader = null, voters = setOf(from)))
+            }
         }
 
         fun write(number: Long) = step {
--- a/daemon/src/main/kotlin/io/primroseflow/daemon/control/ControlHost.kt
+++ b/daemon/src/main/kotlin/io/primroseflow/daemon/control/ControlHost.kt
@@ -361,7 +361,8 @@
             hybridClock = HybridClock(Clock.System),
             handler = ::handle,
             resolve = { PeerAddress(it, settings.dataCentre, it.machine(), settings.peerPort) },
-            dataCentre = settings.dataCentre
+            dataCentre = settings.dataCentre,
+            onFormerId = { onHint(MemberHint(leader = null, voters = setOf(it))) }
         )
         private val planner = MembershipPlanner(
             self,
@@ -457,6 +458,8 @@
                 .forEach { links.send(it, PeerMessage.JoinRequest) }
         }
 
+        private fun onHint(hint: MemberHint) = admission.onHint(hint, clock.now())
+
         private fun onJoinRequest(from: HostId) {
             if (isLeader) {
                 replica.onJoinRequest(from)
@@ -482,7 +485,7 @@
                 PeerMessage.JoinRequest -> onJoinRequest(from)
 
                 is PeerMessage.MembersKnown ->
-                    admission.onHint(MemberHint(message.leader, message.voters), clock.now())
+                    onHint(MemberHint(message.leader, message.voters))
 
                 PeerMessage.LeaveRequest -> replica.onLeaveRequest(from) {
                     links.send(from, PeerMessage.Departure(it))
--- a/daemon/src/main/kotlin/io/primroseflow/daemon/peer/PeerLinks.kt
+++ b/daemon/src/main/kotlin/io/primroseflow/daemon/peer/PeerLinks.kt
@@ -89,6 +89,8 @@
  *
  * @param loop owns the sockets and runs the coroutines that use them
  * @param dataCentre data centre of this host, which it tells the hosts that it dials
+ * @param onFormerId called when a host sends a message of the agreed log to an id that this host had
+ *   before it lost its disk
  * @param onLost called when a connection to a host has failed or could not be opened
  * @param resolve returns the address of a host that [updateAddresses] has not set
  */
@@ -100,6 +102,7 @@
     private val hybridClock: HybridClock,
     private val resolve: (HostId) -> PeerAddress? = { null },
     private val dataCentre: DataCentreId? = null,
+    private val onFormerId: (HostId) -> Unit = {},
     private val onLost: (HostId) -> Unit = {},
     private val handler: PeerHandler
 ) : AutoCloseable {
@@ -335,7 +338,10 @@
         traffic.receivedMessages.addAndGet(frame.messages.size.toLong())
         for (message in frame.messages) {
             // A replica that has lost its disk has a new id and must not act under its old one.
-            if (message is PeerMessage.Replication && hello.to != self) continue
+            if (message is PeerMessage.Replication && hello.to != self) {
+                onFormerId(hello.from)
+                continue
+            }
             contain({ log.error("a message of {} failed", hello.from, it) }) {
                 handler.handle(hello.from, message)
             }
--- a/daemon/src/test/kotlin/io/primroseflow/daemon/control/GroupAdmissionTest.kt
+++ b/daemon/src/test/kotlin/io/primroseflow/daemon/control/GroupAdmissionTest.kt
@@ -40,4 +40,23 @@
                 }
             }
         }
+
+        describe("a control host that has lost its disk and none of whose seeds runs") {
+            // Such a host had nobody to ask, though the members went on to send to its former id.
+            it("joins the group again") {
+                ControlHostGroup(voters = 3).use { group ->
+                    val founders = (1..3).map { group.Member("127.0.0.${91 + it}", "d") }
+                    val gone = group.Member("127.0.0.95", "d")
+                    group.run {
+                        founders.forEach { it.start(founders, isFirst = true) }
+                        val leader = awaitLeader(founders)
+                        val lost = founders.first { it !== leader }
+                        lost.loseDisk()
+                        lost.start(seeds = listOf(gone))
+                        while (lost.gauge("voters") == 0) delay(20.milliseconds)
+                        awaitGroup(founders, voters = 3, learners = 0)
+                    }
+                }
+            }
+        }
     })
