Make the tests of hedges independent of pauses and of the order of arrival

The host's wait for the shared scheduler is a setting now, 450 ms unless stated, and these cases state 8 s, but for the case about that loss. Requests of the warm-up are told by their ids; one in ten of them takes 60 ms, which makes the delay of the route longer than the way to a target; all of them have ended before a race. By reading only: hedges pause for 100 ms after a refusal, which the race waits for too. All checks of the cases are as before.

--- a/daemon/src/main/kotlin/io/primroseflow/daemon/entry/EntryHost.kt
+++ b/daemon/src/main/kotlin/io/primroseflow/daemon/entry/EntryHost.kt
@@ -90,6 +90,8 @@
  * @property metricsPort port at which metrics are served, `null` for none
  * @property features optional parts of scheduling that are on
  * @property hedgeTimeouts limits on the duration of hedging
+ * @property schedulerTimeout time without an answer of the shared scheduler after which this host
+ *   schedules alone
  * @property boundsSlowCallers whether a host holds a bounded part of the answers that its callers do
  *   not read, instead of reading no more from the targets
  */
@@ -107,7 +109,8 @@
     val metricsPort: Int? = null,
     val features: SchedulingFeatures = SchedulingFeatures.NONE,
     val boundsSlowCallers: Boolean = false,
-    val hedgeTimeouts: HedgeTimeouts = HedgeTimeouts()
+    val hedgeTimeouts: HedgeTimeouts = HedgeTimeouts(),
+    val schedulerTimeout: Duration = DEFAULT_SCHEDULER_TIMEOUT
 )
 
 /** Accepts requests of callers, relays them to targets and keeps its policy up to date. */
@@ -168,7 +171,8 @@
         log = log,
         send = links::send,
         listener = LinkListener(),
-        random = random
+        random = random,
+        answerTimeout = settings.schedulerTimeout
     )
     private val relayContext = RelayContext(
         clock = clock,
--- a/daemon/src/main/kotlin/io/primroseflow/daemon/entry/SchedulerLink.kt
+++ b/daemon/src/main/kotlin/io/primroseflow/daemon/entry/SchedulerLink.kt
@@ -27,8 +27,8 @@
 /** Interval between two reports of a host without requests. */
 private val IDLE_REPORT_INTERVAL: Duration = 600.milliseconds
 
-/** Time without an answer after which this host detaches and reports to all control hosts. */
-private val ANSWER_TIMEOUT: Duration = 450.milliseconds
+/** Time without an answer after which a host detaches, unless its settings differ. */
+internal val DEFAULT_SCHEDULER_TIMEOUT: Duration = 450.milliseconds
 
 private val EPOCH: Instant = Instant.fromEpochMilliseconds(0)
 
@@ -90,6 +90,8 @@
  * @param dataCentre data centre of this host
  * @param seeds control hosts to contact besides the replicas that an answer has named
  * @param random must differ from that of every former process of this host
+ * @param answerTimeout time without an answer after which this host detaches and reports to all
+ *   control hosts
  */
 internal class SchedulerLink(
     private val dataCentre: DataCentreId,
@@ -100,7 +102,8 @@
     private val log: EventLog,
     private val send: (HostId, PeerMessage) -> Unit,
     private val listener: SchedulerLinkListener,
-    random: Random
+    random: Random,
+    private val answerTimeout: Duration = DEFAULT_SCHEDULER_TIMEOUT
 ) {
     private class PendingReport(val number: Long, val sentAt: ClockReading)
 
@@ -142,7 +145,7 @@
     /** Detaches if the scheduler has not answered in time, then sends the next report. */
     fun tick() {
         val since = unansweredSince
-        if (isAttached && since != null && clock.now() - since > ANSWER_TIMEOUT) detach("no answer")
+        if (isAttached && since != null && clock.now() - since > answerTimeout) detach("no answer")
         report()
     }
 
--- a/daemon/src/test/kotlin/io/primroseflow/daemon/entry/HedgedRequestsTest.kt
+++ b/daemon/src/test/kotlin/io/primroseflow/daemon/entry/HedgedRequestsTest.kt
@@ -28,6 +28,21 @@
 
 private const val HANG_LIMIT_SECONDS = 10L
 
+/** Prefix of the ids of the requests before a race. */
+private const val WARM_UP_PREFIX = "warm-up-"
+
+/**
+ * Time that one in ten requests before a race takes, and so about the delay of their route: a hedge
+ * must not overtake its first attempt on the way to the targets.
+ */
+private const val SLOW_WARM_UP_MILLIS = 60L
+
+/** Time that is longer than the pause of a host's hedges after one was refused. */
+private const val REFUSAL_PAUSE_MILLIS = 150L
+
+/** Time without an answer that a pause of the process does not reach. */
+private val LONG_SCHEDULER_TIMEOUT = 8.seconds
+
 private fun ReceivedRequest.isStream() = "/resumed/" in line || "/stream/" in line
 
 /** Answers in full: a stream of six events, whose data is [text] and their number, or [text]. */
@@ -42,31 +57,27 @@
     return true
 }
 
-/** Two targets that answer at once until they act in a race: [first] is the one that is sent to first. */
+/**
+ * Two targets in a race: [first] is the one that is sent to first. Requests of the warm-up take no
+ * part in it, whenever they arrive.
+ */
 private class Race(val first: Behaviour, val second: Behaviour) {
     private val received = AtomicInteger()
 
-    @Volatile
-    private var isOn = false
-
     val targets = Array(2) {
         FakeTarget { request, output ->
-            val behaviour = if (received.getAndIncrement() == 0) first else second
-            if (isOn) behaviour(request, output) else request.answerTo(output, "warm")
+            when {
+                request.id.startsWith(WARM_UP_PREFIX) -> warmUp(request, output)
+                received.getAndIncrement() == 0 -> first(request, output)
+                else -> second(request, output)
+            }
         }
     }
 
     /** Number of requests since the start of the race. */
     val receivedCount: Int get() = received.get()
 
-    fun pause() {
-        isOn = false
-    }
-
-    fun start() {
-        received.set(0)
-        isOn = true
-    }
+    fun restart() = received.set(0)
 }
 
 /** Never answers, and counts [areClosed] down when the other side has closed the connection. */
@@ -88,35 +99,51 @@
 
 private val hedging = SchedulingFeatures(hedging = HedgingLimits(share = 1.0))
 
-/** Runs [block] once the delay of the route of [path] is known, and lets the targets race then. */
+/**
+ * Runs [block] once the delay of the route of [path] is known and nothing of the warm-up is in
+ * progress. Hosts that lose the shared scheduler, or that were refused a hedge just before, send no
+ * hedges: a pause of the process must not look like that loss.
+ */
 private fun Race.run(
     path: String,
     features: SchedulingFeatures = hedging,
     changes: Map<String, PolicyChange> = emptyMap(),
     hedgeTimeouts: HedgeTimeouts = unlimited,
+    schedulerTimeout: Duration = LONG_SCHEDULER_TIMEOUT,
     block: RoutedFixture.(awaitHedge: (result: String) -> Unit) -> Unit
 ) = withHosts(
     *targets,
     grace = 3.seconds,
     features = features,
     changes = changes,
-    hedgeTimeouts = hedgeTimeouts
+    hedgeTimeouts = hedgeTimeouts,
+    schedulerTimeout = schedulerTimeout
 ) {
+    var calls = WARM_UP_CALLS
     warmUp(path)
     // A host that was on its own for a while has told the shared scheduler of fewer answers.
     if (features.hedging != null) {
         await {
-            repeat(WARM_UP_CALLS / 10) { call("$path$it", "v$it") }
+            calls += WARM_UP_CALLS / 10
+            warmUp(path, WARM_UP_CALLS / 10)
             "entry_hedged_routes 1.0" in metrics()
         }
     }
+    // Callers get their answers before the requests and their hedges are counted.
+    await { endedCount() == calls }
+    Thread.sleep(REFUSAL_PAUSE_MILLIS)
     val before = hedges()
-    start()
     block { result -> await { hedges()[result] == (before[result] ?: 0) + 1 } }
 }
 
-private fun RoutedFixture.warmUp(path: String) =
-    repeat(WARM_UP_CALLS) { call("$path$it", "w$it") shouldContain "warm" }
+private fun RoutedFixture.warmUp(path: String, count: Int = WARM_UP_CALLS) =
+    repeat(count) { call("$path$it", "$WARM_UP_PREFIX$it") shouldContain "warm" }
+
+/** Returns the number of requests that have ended. */
+private fun RoutedFixture.endedCount(): Int =
+    Regex("primroseflow_requests_total\\{.*\\} (\\d+)").findAll(metrics()).sumOf {
+        it.groupValues[1].toInt()
+    }
 
 /** Returns the number of hedges that were sent, by their results. */
 private fun RoutedFixture.hedges(): Map<String, Int> =
@@ -128,6 +155,11 @@
     request.answerTo(output, "a")
 }
 
+private val warmUp: Behaviour = { request, output ->
+    if (request.id.endsWith('0')) Thread.sleep(SLOW_WARM_UP_MILLIS)
+    request.answerTo(output, "warm")
+}
+
 private val fast: Behaviour = { request, output -> request.answerTo(output, "b") }
 
 private val reset: Behaviour = { request, _ ->
@@ -258,7 +290,7 @@
                     val race = Race(answerOf("a"), answerOf("b"))
                     race.run(path) {
                         repeat(8) {
-                            race.start()
+                            race.restart()
                             val answer = call("${path}1", "r$it")
                             answer shouldStartWith "HTTP/1.1 200"
                             textsIn(answer) shouldBeIn listOf(setOf("a"), setOf("b"))
@@ -367,14 +399,13 @@
         describe("a host that has lost the shared scheduler") {
             it("hedges by its own counts") {
                 val race = Race(slow, fast)
-                race.run("/safe/") {
+                race.run("/safe/", schedulerTimeout = DEFAULT_SCHEDULER_TIMEOUT) {
                     stopControl()
                     await { "entry_shared_scheduler 0.0" in metrics() }
                     textsIn(call("/safe/1")) shouldBe setOf("a")
                     race.receivedCount shouldBe 1
-                    race.pause()
                     warmUp("/safe/")
-                    race.start()
+                    race.restart()
                     textsIn(call("/safe/2")) shouldBe setOf("b")
                     race.receivedCount shouldBe 2
                 }
--- a/daemon/src/test/kotlin/io/primroseflow/daemon/entry/RoutedFixture.kt
+++ b/daemon/src/test/kotlin/io/primroseflow/daemon/entry/RoutedFixture.kt
@@ -149,7 +149,8 @@
     boundsSlowCallers: Boolean = false,
     features: SchedulingFeatures = SchedulingFeatures.NONE,
     hedgeTimeouts: HedgeTimeouts = HedgeTimeouts(),
-    versions: List<String> = emptyList()
+    versions: List<String> = emptyList(),
+    schedulerTimeout: Duration = DEFAULT_SCHEDULER_TIMEOUT
 ) : AutoCloseable {
     private val decoder = decoderOf(changes)
     private val folder = Files.createTempDirectory("control")
@@ -211,7 +212,8 @@
         metricsPort = ports.next(),
         boundsSlowCallers = boundsSlowCallers,
         features = features,
-        hedgeTimeouts = hedgeTimeouts
+        hedgeTimeouts = hedgeTimeouts,
+        schedulerTimeout = schedulerTimeout
     )
     private val entry = EntryHost(
         settings,
@@ -299,6 +301,7 @@
     boundsSlowCallers: Boolean = false,
     features: SchedulingFeatures = SchedulingFeatures.NONE,
     hedgeTimeouts: HedgeTimeouts = HedgeTimeouts(),
+    schedulerTimeout: Duration = DEFAULT_SCHEDULER_TIMEOUT,
     block: RoutedFixture.() -> Unit
 ) {
     RoutedFixture(
@@ -308,7 +311,8 @@
         dialect = dialect,
         boundsSlowCallers = boundsSlowCallers,
         features = features,
-        hedgeTimeouts = hedgeTimeouts
+        hedgeTimeouts = hedgeTimeouts,
+        schedulerTimeout = schedulerTimeout
     ).use {
         it.startControl()
         it.block()
