--- a/daemon/src/main/kotlin/io/primroseflow/daemon/control/ReplicaTask.kt
+++ b/daemon/src/main/kotlin/io/primroseflow/daemon/control/ReplicaTask.kt
@@ -269,8 +269,9 @@
      *
      * A voter with an empty data folder may have lost its disk and must not vote again under the
      * same host id. It therefore takes part only if no other initial voter has any history; one that
-     * has lost its disk meanwhile answers under the id of its new disk. If one has history, the replica keeps waiting, or ends if it has a planner. A replica that is not an
-     * initial voter need not ask the others.
+     * has lost its disk meanwhile answers under the id of its new disk. If one has history, the
+     * replica keeps waiting, or ends if it has a planner. A replica that is not an initial voter need
+     * not ask the others.
      *
      * @return `false` if the group has history and this replica may join it under a new host id
      */
